--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -28,6 +28,7 @@
 LAG_S = 0.1  # the loop stood still for so long: worth a line
 LAG_LOG_S = 10.0
 TICK_S = 0.1
+STATE_LOG_S = 5.0  # between two lines that tell how the forwarder stands
 MOST_TARGETS = 2000  # targets remembered at most, those that are gone among them
 OVERDUE_US = 120_000  # past its time by so much, a message without an end is ended by the engine itself
 SECOND = 1_000_000
@@ -69,6 +70,7 @@
         self.frozen = self.closed = False
         self.full_us = -FULL_LOG_US
         self.leaving_s, self.lag_s = 0.0, -LAG_LOG_S
+        self.rounds, self.state_s = 0, time.monotonic()
         self.done = asyncio.Event()
         self.watch = Watch(config.discovery, self.recover(), self.listed)
 
@@ -114,6 +116,9 @@
         if now - due > LAG_S and now - self.lag_s > LAG_LOG_S:
             self.lag_s = now
             log.warning("the loop stood still for %d ms", (now - due) * 1000)
+        if now - self.state_s > STATE_LOG_S:
+            self.state_s = now
+            self.log_state()
         old = self.clock() - OVERDUE_US
         for m in [m for m in self.store.messages.values() if m.due_us < old and not self.frozen]:
             log.error("message %s was left without an end", m.id)
@@ -121,6 +126,16 @@
             self.post(i.Withdrawn(m.id))
         asyncio.get_running_loop().call_later(TICK_S, self.tick, now + TICK_S)
 
+    def log_state(self) -> None:
+        """What a bad stretch is compared by with a good one; counts are since the start."""
+        lines, store = self.dispatcher.lines.values(), self.store
+        log.info("state: %d held, %d of them in turn by %d keys; %d calls out, %d ends owed; "
+                 "%d clients, %d connections; %d rounds, %.1f s of CPU; "
+                 "journal %d KB, %d KB live, %d compactions",
+                 len(store.messages), sum(len(line.queue) for line in lines), len(lines), self.pool.out,
+                 len(store.owed), len(self.server.doors), len(self.pool.all), self.rounds,
+                 time.process_time(), store.size // 1000, store.live // 1000, store.compactions)
+
     # Events
 
     def post(self, event: i.Event) -> None:
@@ -221,6 +236,7 @@
         self.scheduled = False
         if self.frozen:
             return
+        self.rounds += 1
         now = self.round_us = self.clock()
         events, self.events = self.events, []
         for event in events:
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -64,7 +64,7 @@
         self.outages: dict[str, tuple[int, int]] = {}
         self.hosts: dict[str, dict[str, Any]] = {}
         self.seq = -1
-        self.live, self.size, self.list_size, self.failed = 0, 0, 0, False
+        self.live, self.size, self.list_size, self.failed, self.compactions = 0, 0, 0, False, 0
         self.pending: list[bytes] = []
         folder.mkdir(parents=True, exist_ok=True)
         self.spare.unlink(missing_ok=True)
@@ -249,6 +249,7 @@
             return False
         os.close(self.fd)
         self.fd, self.size, self.failed = fd, len(data), False
+        self.compactions += 1
         return True
 
     def close(self) -> None:
