Read the key from X-Session-Key and give it to the module, fresh and recalled

Cause: the door read another deployment's header, and the loop passed no key to the module, so messages of one claim never queued.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -221,7 +221,7 @@
             item = items[0]
             headers = [("X-Correlation-Id", item.id), ("X-Time-Left", left)]
             if item.key is not None:
-                headers.append(("Idempotency-Key", item.key))
+                headers.append(("X-Session-Key", item.key))
             return request("POST", "/hook", host, headers, item.body)
         return request("POST", "/hook/batch", host,
                        [("Content-Type", "application/json"), ("X-Time-Left", left)], batch_body(items))
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -91,7 +91,7 @@
             for number in list(m.out):
                 kept.outcome(m, number, True)  # its outcome is not known: it may have run
             self.events.append(i.Recalled(
-                m.id, m.destination, m.class_name, m.due_us, None, m.tenant, m.attempts, m.ran_at_us,
+                m.id, m.destination, m.class_name, m.due_us, m.key, m.tenant, m.attempts, m.ran_at_us,
                 self.number(m.ran_on) if m.ran_on else -1, cut_off))
         if kept.messages or kept.owed:
             log.info("took up %d messages and %d owed ends again", len(kept.messages), len(kept.owed))
@@ -180,7 +180,7 @@
             return
         self.arriving[handed.id] = (handed, door)
         door.left = lambda: self.withdrawn(handed.id)
-        self.post(i.Arrived(handed.id, handed.destination, handed.class_name, handed.due_us, None,
+        self.post(i.Arrived(handed.id, handed.destination, handed.class_name, handed.due_us, handed.key,
                             handed.tenant, handed.resent))
 
     def withdrawn(self, name: str) -> None:
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -76,11 +76,11 @@
     dest = parts.get("dest", "")
     if not dest.isascii() or not dest.isdigit() or len(dest) > 10:
         raise BadRequest(bad, "X-Addressing names no destination")
-    key = h.get("idempotency-key")
+    key = h.get("x-session-key")
     if key is not None and (len(key) > 256 or not key.isascii() or not key.isprintable()):
-        raise BadRequest(bad, "Idempotency-Key is malformed")
+        raise BadRequest(bad, "X-Session-Key is malformed")
     if cls.effect is i.Effect.KEYED and not key:
-        raise BadRequest(bad, "Idempotency-Key is missing")
+        raise BadRequest(bad, "X-Session-Key is missing")
     tenant = h.get("x-account")
     if settings.tenants and tenant not in {t.name for t in settings.tenants}:
         raise BadRequest(bad, "X-Account is missing or unknown")
@@ -161,7 +161,7 @@
         if self.reading is not None:
             known = self.reading.headers
             low = name.decode("latin-1").lower()
-            if low in known and low in ("x-correlation-id", "x-time-left", "x-addressing", "idempotency-key"):
+            if low in known and low in ("x-correlation-id", "x-time-left", "x-addressing", "x-session-key"):
                 self.reading.bad = BadRequest(HTTPStatus.BAD_REQUEST, f"{low} stands twice")
             known[low] = value.decode("latin-1").strip()
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -177,6 +177,8 @@
         {"name": "order", "aim_us": 2_000_000, "deadline_us": 60_000_000, "effect": "by_key",
          "key_scope": "all", "window_us": 30_000_000},
         {"name": "status", "aim_us": 2_000_000, "deadline_us": 60_000_000, "effect": "repeatable"},
+        {"name": "turn", "aim_us": 2_000_000, "deadline_us": 60_000_000, "effect": "once",
+         "by_arrival": True},
         {"name": "pay", "aim_us": 2_000_000, "deadline_us": 60_000_000, "effect": "once"},
     ],
     "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"}, "weight_source": "nominal",
@@ -258,7 +260,7 @@
             **changes: str | None) -> bytes:
     headers: dict[str, str | None] = {
         "Host": "origin.svc", "X-Correlation-Id": name, "X-Account": "acme", "X-Time-Left": left,
-        "Idempotency-Key": f"key-{name}", "Content-Length": str(len(body)), "X-Addressing": f"dest={dest}"}
+        "X-Session-Key": f"key-{name}", "Content-Length": str(len(body)), "X-Addressing": f"dest={dest}"}
     headers |= {k.replace("_", "-"): v for k, v in changes.items()}
     lines = [f"POST /{cls} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items() if v is not None)]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -59,7 +59,7 @@
         assert (await node.hand_in("a1", body=body))[0] == 202
         call = (await peer.got(1))[0]
         assert (call.method, call.path, call.body) == ("POST", "/hook", body)
-        assert call.headers["x-correlation-id"] == "a1" and call.headers["idempotency-key"] == "key-a1"
+        assert call.headers["x-correlation-id"] == "a1" and call.headers["x-session-key"] == "key-a1"
         assert 0 < float(call.headers["x-time-left"]) <= 50
         assert (await node.hand_in("a2", "pay"))[0] == 202
         await peer.got(2)
@@ -115,11 +115,39 @@
         assert (await platform.notice("first"))["state"] == "failed"
         again = (await other.got(2))[1]
         assert again.headers["x-correlation-id"] == "keyed"
-        assert again.headers["idempotency-key"] == "key-keyed" and again.body == b"hello"
+        assert again.headers["x-session-key"] == "key-keyed" and again.body == b"hello"
         assert len(peer.requests) == 1
     play(scene, tmp_path)
 
 
+def ids(peer: Peer) -> list[str]:
+    return [r.headers["x-correlation-id"] for r in peer.requests]
+
+
+def test_messages_of_one_key_go_one_at_a_time_also_after_a_restart(tmp_path: Path) -> None:
+    """The second destination stands open all the time: only the key holds its message back."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        shut = Answer(429, {"X-RateLimit-Wait-Ms": "40000"})
+        one = await target(platform, always(OK, shut))
+        two = await target(platform, always(OK), "s2", block=8)
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("a", "turn", X_Session_Key="claim"))[0] == 202
+        await one.got(1)
+        assert (await node.hand_in("b", "turn", dest=8, X_Session_Key="claim"))[0] == 202
+        await two.got(1)
+        assert (await node.hand_in("c", "turn", X_Session_Key="claim"))[0] == 202
+        await one.got(2)
+        assert (await node.hand_in("d", "turn", dest=8, X_Session_Key="claim"))[0] == 202
+        assert (await node.hand_in("e", "turn", dest=8, X_Session_Key="another"))[0] == 202
+        await two.got(2)
+        await node.restart()
+        await one.got(3)
+        assert (await node.hand_in("f", "turn", dest=8, X_Session_Key="another"))[0] == 202
+        await two.got(3)
+        assert ids(one) == ["a", "c", "c"] and ids(two) == ["b", "e", "f"]
+    play(scene, tmp_path)
+
+
 def test_attempts_spent_before_a_restart_stay_spent(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         peer = await target(platform, hang)
@@ -326,7 +354,7 @@
     (message("m", X_Time_Left="soon"), 400),
     (message("m", X_Time_Left="nan"), 400),
     (message("m", dest="x"), 400),
-    (message("m", Idempotency_Key=None), 400),
+    (message("m", X_Session_Key=None), 400),
     (message("m", Content_Length="x"), 400),
     (message("m", dest=4_000_000_000), 503),
     (message("m", body=b"x" * 65_537), 413),
