Hold a key until the end of its message before is confirmed

Cause: a message that ends by a notice is over once the notice is answered; the module passed the turn on in the round that gave the message up. Ruled out: time-outs without a rest; the table shows none.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -73,6 +73,7 @@
         self.ask_pause, self.cleared_at, self.shed_at = ASK_AGAIN_US, now, now - FORGET_US
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.lines: dict[str, Line] = {}
+        self.ending: dict[str, Line] = {}
         self.purses: dict[str, int] = {}
         self.calls_out, self.taken, self.armed = 0, 0, -1
         self.round_calls: dict[int, Call] = {}
@@ -95,6 +96,12 @@
                     t = self.targets[event.target]
                     t.outage_at, t.back_at = event.since_us, event.back_us
                     t.failing, t.tried_at = SURE_MARK, now
+                case i.EndRecalled():
+                    self.await_end(event.message, event.key, 0)
+                case i.Confirmed() if event.message in self.ending:
+                    line = self.ending.pop(event.message)
+                    del line.ending[event.message]
+                    self.next_in(line)
                 case i.Ended():
                     self.ended(event)
                 case i.Listed():
@@ -201,8 +208,15 @@
         safe = m.cls.effect is i.Effect.REPEATABLE or (m.ran_at < 0 and not m.out) or (
             m.cls.effect is i.Effect.KEYED and m.cls.scope is i.Scope.ALL)
         self.actions.append(i.Refuse(m.id, self.retry_after(m)) if safe else i.Fail(m.id))
+        if m.key is not None and self.s.ends_confirmed:
+            self.await_end(m.id, m.key, m.number)
         self.over(m)
 
+    def await_end(self, name: str, key: str, number: int) -> None:
+        """Rule 6: until an end has been heard its message is not over, and those behind it keep waiting."""
+        line = self.ending[name] = self.lines.setdefault(key, Line())
+        line.ending[name] = number
+
     def retry_after(self, m: Message) -> int:
         """How long the client should stay away: until the destination's wait or rest is over."""
         ends = [max(t.place.wait_until, t.place.rest_until) for t in self.usable(m)]
@@ -213,7 +227,8 @@
         """The unsent drop: a held message whose time left is below its expected call is answered now."""
         if self.now - self.cleared_at >= SECOND:
             self.cleared_at = self.now
-            self.lines = {k: n for k, n in self.lines.items() if n.queue or n.out or n.rest_until > self.now}
+            self.lines = {k: n for k, n in self.lines.items()
+                          if n.queue or n.out or n.ending or n.rest_until > self.now}
         for destination in sorted(self.looks):
             for m in list(self.held.piles.get(destination, {}).values()):
                 if self.now >= self.drop_at(m) or not self.may_repeat(m):
@@ -402,6 +417,8 @@
             line = self.lines[m.key]
             if line.queue[0] is not m or line.out or (self.now < line.rest_until and not m.attempts):
                 return False
+            if any(number < m.number for number in line.ending.values()):
+                return False
         if t.failing > SURE_MARK and m.cls.effect is i.Effect.ONCE:
             return m.due - self.now < m.cls.deadline_us / 2 and self.room_at(t) <= self.now
         return self.room_at(t) <= self.now
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -103,6 +103,8 @@
     weights_told: bool = False
     refused_price: float = 0.0
     over_share_worth: float = 1.0
+    ends_confirmed: bool = False
+    """A refusal or failure is over for its key only when Confirmed has told that it was heard."""
     late_halves: bool = False
     """Worth past the aim halves with each further aim (else it falls evenly until the deadline)."""
     answer_grace_us: int = 0
@@ -230,6 +232,21 @@
     message: str
 
 
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """The end that the dispatcher gave a message has been heard."""
+
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndRecalled:
+    """An end that was given before a restart and is not confirmed yet; only messages with a key have one."""
+
+    message: str
+    key: str
+
+
 @dataclass(frozen=True, slots=True)
 class TimerDue:
     token: str
@@ -243,7 +260,8 @@
     report: LoadReport | None = None
 
 
-Event = Listed | Arrived | Recalled | OutageRecalled | Ended | Withdrawn | TimerDue | Probed
+Event = (Listed | Arrived | Recalled | OutageRecalled | EndRecalled | Ended | Confirmed | Withdrawn
+         | TimerDue | Probed)
 
 
 # Actions
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -6,11 +6,12 @@
 import json
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from lemonshunt.net.config import Address, HostList, host_list
 from lemonshunt.net.http import MOST_LIST, BadAnswer, ResponseReader, request
+from lemonshunt.net.store import Owed
 from lemonshunt.wirehost import Malformed
 
 HOLD_MS = 20_000  # how long a watch waits for something newer
@@ -133,7 +134,7 @@
 class Platform(Protocol):
     """Where owed ends are kept until they are acknowledged."""
 
-    def owed_ends(self) -> dict[str, tuple[str, int]]: ...
+    def owed_ends(self) -> Mapping[str, Owed]: ...
 
     def acknowledged(self, names: list[str]) -> None: ...
 
@@ -157,8 +158,9 @@
             await self.wanted.wait()
             self.wanted.clear()
             while owed := list(self.book.owed_ends().items())[:MOST_NOTICES]:
+                body = b"".join(line(*end) for end in owed)
                 try:
-                    answer = await self.client.ask("POST", "/v1/notices", ANSWER_S, b"".join(map(line, owed)))
+                    answer = await self.client.ask("POST", "/v1/notices", ANSWER_S, body)
                     if answer.status != 204:
                         raise BadAnswer(f"status {answer.status}")
                 except (OSError, TimeoutError, BadAnswer) as error:
@@ -171,9 +173,8 @@
                 self.book.acknowledged([name for name, _ in owed])
 
 
-def line(owed: tuple[str, tuple[str, int]]) -> bytes:
-    name, (state, after_ms) = owed
-    told: dict[str, str | int] = {"id": name, "state": state}
-    if after_ms > 0:
-        told["after_ms"] = after_ms
+def line(name: str, owed: Owed) -> bytes:
+    told: dict[str, str | int] = {"id": name, "state": owed.state}
+    if owed.after_ms > 0:
+        told["after_ms"] = owed.after_ms
     return json.dumps(told, separators=(",", ":")).encode() + b"\n"
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import time
+from dataclasses import replace
 from http import HTTPStatus
 
 from lemonshunt import interface as i
@@ -17,7 +18,7 @@
 from lemonshunt.net.config import Config, Host, HostList, host
 from lemonshunt.net.discovery import Notices, Watch
 from lemonshunt.net.server import Door, Handed, Server
-from lemonshunt.net.store import Store, Taken
+from lemonshunt.net.store import Owed, Store, Taken
 
 ROUND_US = 5_000  # least time between rounds: what goes to one target in one round travels together
 LISTEN_S = 1.0  # after SIGTERM new connections come for a while
@@ -48,7 +49,7 @@
 class Engine:
     def __init__(self, config: Config) -> None:
         self.config, self.clock = config, Clock()
-        s = config.settings
+        s = replace(config.settings, ends_confirmed=True)
         self.store = Store(config.state, config.disk_bytes)
         self.dispatcher = Dispatcher(s, config.seed, self.clock())
         # A share of the descriptors for each side; the rest is for files, discovery and the listener.
@@ -93,6 +94,8 @@
             self.events.append(i.Recalled(
                 m.id, m.destination, m.class_name, m.due_us, m.key, m.tenant, m.attempts, m.ran_at_us,
                 self.number(m.ran_on) if m.ran_on else -1, cut_off))
+        self.events += [i.EndRecalled(name, owed.key) for name, owed in kept.owed.items()
+                        if owed.key is not None]
         if kept.messages or kept.owed:
             log.info("took up %d messages and %d owed ends again", len(kept.messages), len(kept.owed))
         return known.seq
@@ -299,6 +302,7 @@
             door.answer(HTTPStatus.TOO_MANY_REQUESTS, "refused", Retry_After=f"{a.wait_us / SECOND:.3f}")
         else:
             door.answer(HTTPStatus.TOO_MANY_REQUESTS, "refused")
+        self.post(i.Confirmed(a.message))
 
     def send(self, a: i.Send, now: int, forming: dict[int, Call],
              calls: list[i.CloseIdle | Call | i.Cancel]) -> None:
@@ -348,12 +352,13 @@
 
     # Notices
 
-    def owed_ends(self) -> dict[str, tuple[str, int]]:
+    def owed_ends(self) -> dict[str, Owed]:
         return self.store.owed
 
     def acknowledged(self, names: list[str]) -> None:
         for name in names:
             self.store.told(name)
+            self.post(i.Confirmed(name))
         self.store.flush()
 
     # Stopping
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -4,7 +4,7 @@
 write is enough, since the files outlast the process without a sync. Kinds, by the first item of the line:
   taken [id, class, destination, due, key, tenant, attempts, ran_at, ran_on, [[number, at, host]...]] + body
   attempt [id, number, at, host], before the call's first byte; outcome [id, number, may have run]
-  over [id]; owed [id, state, after_ms], an end that the platform has not acknowledged; told [id]
+  over [id]; owed [id, state, after_ms, key], an end that the platform has not acknowledged; told [id]
   list {seq, hosts}: the last list, since `known` may be older than what this forwarder was told of drains
   outage [host, since, back]: a target seen in an outage; its cold budget must hold across a restart too.
 Waits are not kept: a restart ends them. Windows and means are not either: they are soon learned anew.
@@ -20,7 +20,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 HEAD = struct.Struct("<II")
 MOST_RECORD = 1 << 21
@@ -53,6 +53,14 @@
         return len(self.body) + len(self.id) + PER_MESSAGE
 
 
+class Owed(NamedTuple):
+    """An end that the platform has not acknowledged; until it has, the key's next message must wait."""
+
+    state: str
+    after_ms: int
+    key: str | None
+
+
 class Store:
     """Appends are gathered; `flush` writes them, before anything that they precede leaves."""
 
@@ -60,7 +68,7 @@
         self.path, self.spare = folder / "journal", folder / "journal.new"
         self.most = most_bytes - 2 * BLOCK
         self.messages: dict[str, Taken] = {}
-        self.owed: dict[str, tuple[str, int]] = {}
+        self.owed: dict[str, Owed] = {}
         self.outages: dict[str, tuple[int, int]] = {}
         self.hosts: dict[str, dict[str, Any]] = {}
         self.seq = -1
@@ -130,7 +138,8 @@
 
     def _owed(self, rest: list[Any], body: bytes = b"") -> None:
         self._over(rest)
-        self.owed[rest[0]] = (rest[1], rest[2])
+        name, state, after_ms, key = rest
+        self.owed[name] = Owed(state, after_ms, key)
 
     def _told(self, rest: list[Any], body: bytes = b"") -> None:
         self.owed.pop(rest[0], None)
@@ -170,8 +179,9 @@
             self.append("over", name)
 
     def owe(self, name: str, state: str, after_ms: int) -> None:
-        self._owed([name, state, after_ms])
-        self.append("owed", name, state, after_ms)
+        owed = [name, state, after_ms, self.messages[name].key]
+        self._owed(owed)
+        self.append("owed", *owed)
 
     def told(self, name: str) -> None:
         if name in self.owed:
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -109,6 +109,8 @@
     queue: deque[Message] = field(default_factory=deque)
     out: int = 0
     rest_until: int = 0
+    ending: dict[str, int] = field(default_factory=dict)
+    """The numbers of those that were given an end that is not confirmed yet."""
 
 
 @dataclass(slots=True)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -40,7 +40,7 @@
         assert list(back.messages) == ["a", "b"] and back.messages == store.messages
         assert (a.attempts, a.ran_at_us, a.ran_on, a.out) == (2, 50, "s1", {1: (60, "s2")})
         assert (back.messages["b"].attempts, back.messages["b"].ran_at_us) == (1, -1)
-        assert back.owed == {"d": ("returned", 500)} and back.outages == {"s1": (5, -1)}
+        assert back.owed == {"d": ("returned", 500, "k-d")} and back.outages == {"s1": (5, -1)}
         assert (back.seq, back.hosts) == (41, store.hosts) and back.live == store.live
         assert store.compact()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -142,12 +142,33 @@
         await two.got(2)
         await node.restart()
         await one.got(3)
-        assert (await node.hand_in("f", "turn", dest=8, X_Session_Key="another"))[0] == 202
+        assert (await node.hand_in("f", "turn", dest=8, X_Session_Key="third"))[0] == 202
         await two.got(3)
         assert ids(one) == ["a", "c", "c"] and ids(two) == ["b", "e", "f"]
     play(scene, tmp_path)
 
 
+def test_an_end_holds_its_key_until_the_platform_has_heard_it(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(Answer(500)))
+        two = await target(platform, always(OK), "s2", block=8)
+        platform.accepts = False
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("a", "turn", X_Session_Key="claim"))[0] == 202
+        await platform.until(lambda: any(r.path == "/v1/notices" for r in platform.requests))
+        assert (await node.hand_in("b", "turn", dest=8, X_Session_Key="claim"))[0] == 202
+        assert (await node.hand_in("c", "turn", dest=8, X_Session_Key="another"))[0] == 202
+        await two.got(1)
+        await node.restart()
+        assert (await node.hand_in("d", "turn", dest=8, X_Session_Key="third"))[0] == 202
+        await two.got(2)
+        assert ids(two) == ["c", "d"]
+        platform.accepts = True
+        await two.got(3)
+        assert ids(two) == ["c", "d", "b"] and platform.notices[0]["id"] == "a"
+    play(scene, tmp_path)
+
+
 def test_attempts_spent_before_a_restart_stay_spent(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         peer = await target(platform, hang)
