--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -415,9 +415,8 @@
             return False
         if m.key is not None:
             line = self.lines[m.key]
-            if line.queue[0] is not m or line.out or (self.now < line.rest_until and not m.attempts):
-                return False
-            if any(number < m.number for number in line.ending.values()):
+            if line.queue[0] is not m or line.out or any(n < m.number for n in line.ending.values()) or (
+                    self.now < line.rest_until and not m.attempts):
                 return False
         if t.failing > SURE_MARK and m.cls.effect is i.Effect.ONCE:
             return m.due - self.now < m.cls.deadline_us / 2 and self.room_at(t) <= self.now
