Believe nothing of an answer that is cut or garbled but a first line with 200

Cause: a cut or garbled 503, 429 or 410 was believed, so the message went again though it may have run; a garbled 200 was not; and a garbled answer was taken for a reset, a sign of an outage and of a dead idle connection. Ruled out for the second copy: a restart, as there was none.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -292,7 +292,7 @@
             self.next_in(line)
         if event.outcome not in i.NEVER_RAN and m.ran_at < 0:
             m.ran_at, m.ran_on = call.sent_at, target.id
-        if not call.judged and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELED):
+        if not call.judged and event.outcome not in i.TELLS_NOTHING:
             call.judged = True
             self.judge(call, m, event)
         target.place.wait_until = max(target.place.wait_until, self.now + event.wait_us)
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -31,6 +31,8 @@
 
     DELIVERED = "delivered"
     FAILED = "failed"
+    UNREADABLE = "unreadable"
+    """An answer came, but not one that can be read: it may have run, and the target is there."""
     FULL = "full"
     TIMED_OUT = "timed out"
     NO_CONNECTION = "no connection"
@@ -42,6 +44,9 @@
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT})
 """Outcomes that prove the attempt had no effect."""
 
+TELLS_NOTHING = frozenset({Outcome.NOT_SENT, Outcome.CANCELED, Outcome.UNREADABLE})
+"""Outcomes that tell nothing of the target's pace and health."""
+
 
 class ListKind(Enum):
     CHANGES = "changes"
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -296,15 +296,22 @@
         many = call.batched
         report = self.report(reader)
         # A first line with 200 is a delivery though the rest is cut; of several, only the whole answer tells.
-        if broken and (reader.status == 0 or (reader.status == 200 and many)):
-            written = call.written or reader.status != 0
-            self.finish(call, Result(Outcome.RESET if written else Outcome.NO_CONNECTION), report)
+        # Nothing else that is cut or garbled may be believed: not a refusal either, for it may have run.
+        if broken and (reader.status != 200 or many):
+            self.finish(call, Result(self.broken(call, reader)), report)
             return
         if reader.status == 200 and many:
             self.batch_ended(call, reader, report)
             return
         self.finish(call, single(reader), report)
 
+    @staticmethod
+    def broken(call: Call, reader: ResponseReader) -> Outcome:
+        """What an answer that is cut, garbled or missing stands for."""
+        if reader.begun:
+            return Outcome.UNREADABLE
+        return Outcome.RESET if call.written else Outcome.NO_CONNECTION
+
     def batch_ended(self, call: Call, reader: ResponseReader, report: i.LoadReport | None) -> None:
         wait = wait_us(reader)
         try:
--- a/lemonshunt/net/http.py
+++ b/lemonshunt/net/http.py
@@ -16,7 +16,7 @@
 
 
 class ResponseReader:
-    """Collects one answer after the other; `status` is known as soon as the headers are whole."""
+    """Collects one answer after the other; `status` is known as soon as the first line tells it."""
 
     def __init__(self, most: int = MOST_BODY) -> None:
         self.most = most
@@ -24,7 +24,7 @@
 
     def renew(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
-        self.status, self.complete, self.keep_alive = 0, False, False
+        self.status, self.begun, self.complete, self.keep_alive = 0, False, False, False
         self.headers: Headers = {}
         self.size = 0
         self.parts: list[bytes] = []
@@ -34,6 +34,7 @@
         return b"".join(self.parts)
 
     def feed(self, data: bytes) -> None:
+        self.begun = True
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -45,6 +46,9 @@
 
     # Called by the parser
 
+    def on_status(self, reason: bytes) -> None:
+        self.status = self.parser.get_status_code()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         self.size += len(name) + len(value)
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -213,6 +213,14 @@
     assert not sends(told)  # its first target is gone, and only that one's zone knows the key
 
 
+def test_unreadable_answers_are_no_outage_but_may_have_run() -> None:
+    d = started((i.TargetEntry(1, 10, "north", "plain"),))
+    for n in range(4):
+        out = sends(d.handle(n * S, [ask(f"m{n}", cls="once", due=(n + 8) * S)]))[0]
+        told = d.handle(n * S + MS, [end(out, i.Outcome.UNREADABLE)])
+        assert [a for a in told if isinstance(a, i.Fail)] and not [a for a in told if isinstance(a, i.Outage)]
+
+
 def test_key_rests_after_a_restart_cut_off_its_attempt() -> None:
     d = started(ONE)
     told = d.handle(0, [i.Recalled("a", 10, "turns", 8 * S, "k", None, 6, 0, 1, True),
