Let no message of a batch time out while its call still carries it

Symptom: a second copy is possible wherever statusvarsel and refusjon share a call. Cause: a message that timed out before the others of its call was given back to the module, which sent it again while the first call was still out on its connection.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -37,6 +37,9 @@
     key: str | None
     body: bytes
     until_us: int
+    """Its own time-out, when it is alone in its call."""
+    due_us: int
+    """Its time is up then, and its end is owed."""
 
 
 @dataclass(slots=True)
@@ -233,14 +236,16 @@
             call.timer.cancel()
             call.timer = None
         if call.open:
+            # A call is given up by closing its connection, for all its messages or for none: one that timed
+            # out sooner would be sent again while this call still carries it. It waits for the last of them.
             call.until_us = max(item.until_us for item in call.open.values())
-            first = min(item.until_us for item in call.open.values())
+            first = min(call.until_us, *(item.due_us for item in call.open.values()))
             delay = max(0, first - self.clock()) / SECOND
             call.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.timed_out, call)
 
     def timed_out(self, call: Call) -> None:
         now = self.clock()
-        late = [item for item in call.open.values() if item.until_us <= now]
+        late = [item for item in call.open.values() if min(call.until_us, item.due_us) <= now]
         self.give_up(call, late, Outcome.TIMED_OUT)
 
     def cancel(self, message: str, attempt: int) -> None:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -320,7 +320,7 @@
             self.post(i.Ended(m.id, number, a.target, i.Outcome.NOT_SENT, 0))
             return
         self.store.attempt(m, number, now, name)
-        item = Item(m.id, number, m.key, m.body, now + min(a.timeout_us, m.due_us - now))
+        item = Item(m.id, number, m.key, m.body, min(now + a.timeout_us, m.due_us), m.due_us)
         call = forming.get(a.target)
         most = self.batches.get(str(target.raw.get("class")), 1)
         if call is None or len(call.items) >= most or not fits(call.items, item):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from pathlib import Path
 
 from lemonshunt import interface as i
@@ -13,7 +14,7 @@
 from lemonshunt.net.server import Door, Handed, Server
 from lemonshunt.net.store import Store, Taken
 from lemonshunt.wirehost import settings
-from tests.sockets import OK, SETTINGS, Answer, Peer, always, hang, message
+from tests.sockets import OK, SETTINGS, Answer, Peer, Request, always, hang, message
 
 
 def taken(name: str, size: int = 100) -> Taken:
@@ -72,7 +73,7 @@
 
 
 def call(clock: Clock, name: str, left_us: int = 5_000_000) -> Call:
-    return Call(1, (7, -1), clock(), [Item(name, 0, None, b"x", clock() + left_us)])
+    return Call(1, (7, -1), clock(), [Item(name, 0, None, b"x", clock() + left_us, clock() + left_us)])
 
 
 def test_send_that_waits_for_its_connection_never_reaches_a_target_drained_meanwhile() -> None:
@@ -188,6 +189,35 @@
     asyncio.run(scene())
 
 
+def test_no_message_of_a_call_times_out_while_the_call_still_carries_it() -> None:
+    """Told that it had, the module sent it a second time beside the first."""
+    async def scene() -> None:
+        ends: list[i.Ended] = []
+        free = asyncio.Event()
+
+        async def slow(request: Request) -> Answer:
+            await free.wait()
+            states = [{"id": x["id"], "state": "accepted"} for x in json.loads(request.body)]
+            return Answer(200, body=json.dumps(states).encode())
+        peer = await Peer(slow).start()
+        p, now = pool(ends), Clock()()
+        p.serving({1: Address("127.0.0.1", peer.port)})
+        p.start(Call(1, (7, -1), now, [
+            Item("short", 0, None, b"x", now + 100_000, now + 60 * 10**6),
+            Item("due", 0, None, b"x", now + 100_000, now + 200_000),
+            Item("long", 0, None, b"x", now + 60 * 10**6, now + 60 * 10**6)]))
+        while not ends:
+            await asyncio.sleep(0.01)
+        assert [(e.message, e.outcome) for e in ends] == [("due", i.Outcome.TIMED_OUT)]
+        free.set()
+        while p.out:
+            await asyncio.sleep(0.01)
+        assert [(e.message, e.outcome) for e in ends[1:]] == [
+            ("short", i.Outcome.DELIVERED), ("long", i.Outcome.DELIVERED)]
+        p.close()
+    asyncio.run(scene())
+
+
 def test_connections_are_used_again_and_closed_on_demand() -> None:
     async def scene() -> None:
         ends: list[i.Ended] = []
