Heed a wait that a batch's answer tells, whatever its messages' ends

Cause: the wait of a 200 answer was kept only where a message was deferred, and one that cannot be read counted as no wait at all.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -318,7 +318,7 @@
         return Outcome.RESET if call.written else Outcome.NO_CONNECTION
 
     def batch_ended(self, call: Call, reader: ResponseReader, report: i.LoadReport | None) -> None:
-        wait = wait_us(reader)
+        wait = wait_us(reader) or 0
         try:
             ends = {e["id"]: e["state"] for e in json.loads(reader.body)}
         except (ValueError, TypeError, KeyError) as error:
@@ -327,8 +327,7 @@
         for item in list(call.open.values()):
             state = ends.get(item.id)
             outcome = STATES.get(state, Outcome.FAILED) if isinstance(state, str) else Outcome.FAILED
-            told = wait if outcome is Outcome.FULL else 0
-            self.tell(call, item, Result(outcome, state == "expired", told), report)
+            self.tell(call, item, Result(outcome, state == "expired", wait), report)
 
     def report(self, reader: ResponseReader) -> i.LoadReport | None:
         """What the target told of its limit; garbage counts as nothing told."""
@@ -392,11 +391,13 @@
     return sum(4 * len(x.body) // 3 + len(x.id) + len(x.key or "") + 64 for x in [*items, item]) <= MOST_BODY
 
 
-def wait_us(reader: ResponseReader) -> int:
+def wait_us(reader: ResponseReader) -> int | None:
+    """The wait that an answer tells, 0 without one; None where it cannot be read."""
     try:
-        return max(0, -int(-float(reader.headers.get("x-ratelimit-wait-ms", "0")) * 1000 // 1))
+        wait = -int(-float(reader.headers.get("x-ratelimit-wait-ms", "0")) * 1000 // 1)
     except (ValueError, OverflowError):
-        return 0
+        return None
+    return wait if wait >= 0 else None
 
 
 def single(reader: ResponseReader) -> Result:
@@ -405,7 +406,8 @@
     if status == 200:
         return Result(Outcome.DELIVERED, closed=True)
     if status == 429:
-        return Result(Outcome.FULL, wait_us=wait_us(reader))
+        wait = wait_us(reader)
+        return Result(Outcome.UNREADABLE) if wait is None else Result(Outcome.FULL, wait_us=wait)
     if status == 503:
         return Result(Outcome.NOT_SENT if "x-over-slots" in reader.headers else Outcome.FULL)
     if status in (410, 504):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -109,6 +109,24 @@
     asyncio.run(scene())
 
 
+def test_a_wait_told_with_the_ends_of_a_batch_binds_whatever_they_are() -> None:
+    async def scene() -> None:
+        ends: list[i.Ended] = []
+
+        async def accept(request: Request) -> Answer:
+            states = [{"id": x["id"], "state": "accepted"} for x in json.loads(request.body)]
+            return Answer(200, {"X-RateLimit-Wait-Ms": "700"}, json.dumps(states).encode())
+        peer = await Peer(accept).start()
+        p, now = pool(ends), Clock()()
+        p.serving({1: Address("127.0.0.1", peer.port)})
+        p.start(Call(1, (7, -1), now, [Item(n, 0, None, b"x", now + 10**7, now + 10**7) for n in "ab"]))
+        while len(ends) < 2:
+            await asyncio.sleep(0.005)
+        assert [(e.outcome, e.wait_us) for e in ends] == [(i.Outcome.DELIVERED, 700_000)] * 2
+        p.close()
+    asyncio.run(scene())
+
+
 def test_targets_replaced_for_months_do_not_pile_up() -> None:
     d = Dispatcher(settings(SETTINGS), 1, 0)
     for n in range(3000):
