Read the configuration again on SIGHUP and move to the discovery it names

Cause: no handler for SIGHUP, so the signal ended the process; and nothing could follow discovery to another address.

--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -17,6 +17,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, engine.stop)
     loop.add_signal_handler(signal.SIGINT, engine.stop)
+    loop.add_signal_handler(signal.SIGHUP, engine.reload)
     gc.freeze()  # what is made at the start stays: it need not be looked through again and again
     await engine.run()
 
--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -1,4 +1,4 @@
-"""What a forwarder is told: LB_CONFIG and the environment, checked once at the start."""
+"""What a forwarder is told: LB_CONFIG and the environment, checked at the start and again on SIGHUP."""
 
 from __future__ import annotations
 
@@ -89,8 +89,9 @@
                     tuple(host(raw) for raw in need(told, "hosts", list)))
 
 
-def load(environ: Mapping[str, str] = os.environ) -> Config:
-    """The configuration; the environment's names go before those in the file."""
+def load(environ: Mapping[str, str] = os.environ, again: bool = False) -> Config:
+    """The configuration; the environment's names go before those in the file. When it is read again, the
+    address of discovery is the file's: the environment cannot have followed a change."""
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
@@ -107,7 +108,7 @@
         return Config(
             name=environ.get("LB_NAME") or need(told, "name", str),
             listen=address(environ.get("LB_LISTEN") or need(told, "listen", str)),
-            discovery=address(environ.get("LB_DISCOVERY") or need(told, "discovery", str)),
+            discovery=address(not again and environ.get("LB_DISCOVERY") or need(told, "discovery", str)),
             state=Path(state),
             seed=zlib.crc32(str(told.get("seed", "")).encode()),
             memory_mb=int(limits.get("memory_mb", 192)),
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -81,6 +81,9 @@
     def __init__(self, where: Address) -> None:
         self.where, self.channel = where, Channel()
 
+    def close(self) -> None:
+        self.channel.close()
+
     async def ask(self, method: str, path: str, timeout_s: float, body: bytes = b"") -> ResponseReader:
         data = request(method, path, f"{self.where.host}:{self.where.port}", (), body)
         try:
@@ -109,6 +112,15 @@
         if self.task is None or self.task.done():
             self.task = asyncio.get_running_loop().create_task(self.follow())
 
+    def move(self, where: Address) -> None:
+        """Discovery has a new address: follow the list there at once, from the version that is known."""
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+        self.client.close()
+        self.client = Client(where)
+        self.subscribe()
+
     async def follow(self) -> None:
         while True:
             path, wait = "/discovery/hosts", ANSWER_S
@@ -152,6 +164,11 @@
         if self.task is None:
             self.task = asyncio.get_running_loop().create_task(self.run())
 
+    def move(self, where: Address) -> None:
+        """Post to a new address from now on; a post that is on its way is cut off and made again."""
+        self.client.close()
+        self.client = Client(where)
+
     async def run(self) -> None:
         failures = 0
         while True:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -9,13 +9,13 @@
 import asyncio
 import logging
 import time
-from dataclasses import replace
+from dataclasses import astuple, replace
 from http import HTTPStatus
 
 from lemonshunt import interface as i
 from lemonshunt.choice import Dispatcher
 from lemonshunt.net.client import Call, Item, Pool, fits
-from lemonshunt.net.config import Config, Host, HostList, host
+from lemonshunt.net.config import Config, ConfigError, Host, HostList, host, load
 from lemonshunt.net.discovery import Notices, Watch
 from lemonshunt.net.server import Door, Handed, Server
 from lemonshunt.net.store import Owed, Store, Taken
@@ -113,6 +113,20 @@
         self.pool.close()
         self.store.close()
 
+    def reload(self) -> None:
+        """SIGHUP: read the configuration again. What can change under a running forwarder is where discovery
+        is; a file that cannot be read changes nothing."""
+        try:
+            told = load(again=True)
+        except ConfigError as error:
+            log.error("the configuration is left as it was: %s", error)
+            return
+        log.info("the configuration was read again: discovery at %s:%d", *astuple(told.discovery))
+        if told.discovery != self.config.discovery:
+            self.config = replace(self.config, discovery=told.discovery)
+            self.watch.move(told.discovery)
+            self.notices.move(told.discovery)
+
     def tick(self, due: float) -> None:
         """Watch the loop, and that no message is past its time without an end: that would break a promise."""
         now = time.monotonic()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -201,7 +201,8 @@
 
     async def start(self) -> Node:
         env = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"),
-               "LB_STATE": str(self.folder / "state")}
+               "LB_STATE": str(self.folder / "state"),
+               "LB_DISCOVERY": json.loads((self.folder / "config.json").read_text())["discovery"]}
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "lemonshunt", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
         self.drain = asyncio.create_task(self.read_log())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -493,6 +493,34 @@
     play(scene, tmp_path)
 
 
+def test_sighup_moves_to_the_discovery_that_the_file_names(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(Answer(500)))
+        node = await node_on(folder, platform)
+        await platform.got(1)
+        config = json.loads((folder / "config.json").read_text())
+        (folder / "config.json").write_text("{")
+        node.process.send_signal(signal.SIGHUP)
+        while not any("left as it was" in line for line in node.log):
+            await asyncio.sleep(0.01)
+        new = Platform()
+        await new.start()
+        new.hosts, new.seq = platform.hosts, platform.seq
+        fresh = await target(new, always(OK), "s2", block=9)
+        new.seq += 1
+        new.news[new.seq] = [new.hosts["s2"]]
+        (folder / "config.json").write_text(json.dumps(config | {"discovery": f"127.0.0.1:{new.port}"}))
+        node.process.send_signal(signal.SIGHUP)
+        await new.until(lambda: any(f"from={new.seq}" in r.path for r in new.requests))
+        assert (await node.hand_in("here", "pay", dest=9))[0] == 202
+        await fresh.got(1)
+        assert (await node.hand_in("m", "pay"))[0] == 202
+        assert (await new.notice("m"))["state"] == "failed"
+        assert not platform.notices
+        assert await node.end(signal.SIGTERM) == 0
+    play(scene, tmp_path)
+
+
 @pytest.mark.parametrize("config", [None, "{", "{}", json.dumps({"settings": {**SETTINGS, "services": 3}}),
                                     json.dumps({"settings": SETTINGS, "listen": "here", "name": "n"})])
 def test_bad_configuration_is_one_line(tmp_path: Path, config: str | None) -> None:
