--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -17,7 +17,8 @@
 
 MOST_HEAD = 16 * 1024
 MOST_WAITING = 8  # requests read ahead on one connection before reading stops
-STALLED_US = 10_000_000  # a request that stands half read for longer is answered 408
+STALLED_US = 2_000_000  # no request for so long after connecting, or one half read: a peer is told within 3 s
+SWEEP_S = 0.25
 LINGER_S = 1.0
 log = logging.getLogger("lemonshunt.server")
 
@@ -100,8 +101,8 @@
         self.waiting: deque[Request] = deque()
         self.busy: Request | None = None
         self.left: Callable[[], None] | None = None
-        self.used_us = server.clock()
-        self.broken, self.ended = False, False
+        self.made_us = self.used_us = server.clock()
+        self.asked = self.broken = self.ended = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -188,6 +189,7 @@
         if self.reading is not None:
             self.reading.method = self.parser.get_method().decode("latin-1")
             self.reading.keep_alive = self.parser.should_keep_alive()
+            self.asked = True
             self.waiting.append(self.reading)
             self.reading = None
 
@@ -256,24 +258,29 @@
                 if attempt == 99:
                     raise
                 await asyncio.sleep(0.05)
-        loop.call_later(1, self.sweep)
+        loop.call_later(SWEEP_S, self.sweep)
 
     def joined(self, door: Door) -> None:
-        """Bound the sockets: the client's connection that has been idle longest makes room."""
+        """Bound the sockets. One that has not asked for anything yet makes room first, be it silent or half
+        way into a request; then the client's connection that has been idle longest."""
         self.doors.add(door)
         if len(self.doors) > self.most:
-            idle = [d for d in self.doors if d.idle() and d is not door]
-            (min(idle, key=lambda d: d.used_us) if idle else door).close()
+            spare = [d for d in self.doors if d is not door and (d.idle() or not d.asked)]
+            (min(spare, key=lambda d: (d.asked, d.used_us)) if spare else door).close()
 
     def sweep(self) -> None:
-        """A request that stands half read must not hold its socket for ever."""
+        """Peers that send nothing, or a part of a request, must not hold their sockets: clients need them."""
         old = self.clock() - STALLED_US
         for door in list(self.doors):
-            if door.reading is not None and door.busy is None and door.reading.came_us < old:
+            if door.busy is not None or door.broken:
+                continue
+            if door.reading is not None and door.reading.came_us < old:
                 door.broken, door.reading = True, None
                 door.busy = Request(old, keep_alive=False)
                 door.answer(HTTPStatus.REQUEST_TIMEOUT, "the request did not come to its end")
-        asyncio.get_running_loop().call_later(1, self.sweep)
+            elif door.idle() and not door.asked and door.made_us < old:
+                door.close()
+        asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
     def handle(self, door: Door, request: Request) -> None:
         if request.bad is not None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -6,6 +6,8 @@
 import json
 from pathlib import Path
 
+import pytest
+
 from lemonshunt import interface as i
 from lemonshunt.choice import Dispatcher
 from lemonshunt.net.client import Call, Connection, Item, Pool
@@ -147,6 +149,15 @@
     asyncio.run(scene())
 
 
+class Skewed(Clock):
+    """A clock that a test puts forward."""
+
+    skew = 0
+
+    def __call__(self) -> int:
+        return super().__call__() + self.skew
+
+
 class HalfWritten(asyncio.Transport):
     """A transport whose peer takes no more."""
 
@@ -275,6 +286,33 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize("sent", [b"", b"POST /order HTTP/1.1\r\nHost: x\r\n",
+                                  message("m", body=b"abc")[:-1]])
+def test_a_peer_that_sends_no_whole_request_is_let_go_and_a_client_stays(sent: bytes) -> None:
+    """They filled the table of connections, and clients' own were closed for them."""
+    async def scene() -> None:
+        clock = Skewed()
+        server = Server(settings(SETTINGS), clock, 10, lambda handed, door: None)
+        await server.listen("127.0.0.1", 0)
+        assert server.listener is not None
+        port = server.listener.sockets[0].getsockname()[1]
+        client = await asyncio.open_connection("127.0.0.1", port)
+        client[1].write(b"GET /up HTTP/1.1\r\n\r\n")
+        await client[0].readuntil(b"up\n")
+        peer = await asyncio.open_connection("127.0.0.1", port)
+        peer[1].write(sent)
+        while len(server.doors) < 2 or (sent and all(d.reading is None for d in server.doors)):
+            await asyncio.sleep(0.01)
+        clock.skew = 2_100_000
+        async with asyncio.timeout(20):
+            answer = await peer[0].read()
+        assert answer.startswith(b"HTTP/1.1 408") if sent else answer == b""
+        client[1].write(b"GET /up HTTP/1.1\r\n\r\n")
+        await client[0].readuntil(b"up\n")
+        await server.close()
+    asyncio.run(scene())
+
+
 def test_too_many_clients_cost_the_one_idle_longest() -> None:
     async def scene() -> None:
         server = Server(settings(SETTINGS), Clock(), 2, lambda handed, door: None)
