Remember the ids that are over, so that none is taken on twice

Cause: an id was known while its message was held only; handed in again after its end, it was taken on and sent a second time.

--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -178,8 +178,8 @@
 
     def hand_in(self, handed: Handed, door: Door) -> None:
         """A message came in. At the door only what the module never sees is turned away."""
-        if handed.id in self.store.messages:
-            door.answer(HTTPStatus.ACCEPTED)  # it is ours already
+        if self.store.knows(handed.id):
+            door.answer(HTTPStatus.ACCEPTED)  # it is ours already, or has had its end
             return
         if handed.id in self.arriving:
             door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "handed in twice at once", Retry_After=AWAY_S)
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -4,7 +4,8 @@
 write is enough, since the files outlast the process without a sync. Kinds, by the first item of the line:
   taken [id, class, destination, due, key, tenant, attempts, ran_at, ran_on, [[number, at, host]...]] + body
   attempt [id, number, at, host], before the call's first byte; outcome [id, number, may have run]
-  over [id]; owed [id, state, after_ms, key], an end that the platform has not acknowledged; told [id]
+  over [id]; ended [ids], those that were over when the file was written anew
+  owed [id, state, after_ms, key], an end that the platform has not acknowledged; told [id]
   list {seq, hosts}: the last list, since `known` may be older than what this forwarder was told of drains
   outage [host, since, back]: a target seen in an outage; its cold budget must hold across a restart too.
 Waits are not kept: a restart ends them. Windows and means are not either: they are soon learned anew.
@@ -28,6 +29,7 @@
 ROOM = 128 * 1024  # kept free for the small records that follow a message that was taken on
 LEAST_COMPACT = 256 * 1024  # below this size the file is left to grow
 OUTAGE_KEPT_US = 3_600_000_000
+MOST_ENDED = 8192  # ids remembered after their end: more than a minute's at full load
 PER_MESSAGE = 400  # what a held message's further records may add to a compacted file
 log = logging.getLogger("lemonshunt.store")
 
@@ -68,11 +70,13 @@
         self.path, self.spare = folder / "journal", folder / "journal.new"
         self.most = most_bytes - 2 * BLOCK
         self.messages: dict[str, Taken] = {}
+        self.ended: dict[str, None] = {}  # the oldest first
         self.owed: dict[str, Owed] = {}
         self.outages: dict[str, tuple[int, int]] = {}
         self.hosts: dict[str, dict[str, Any]] = {}
         self.seq = -1
-        self.live, self.size, self.list_size, self.failed, self.compactions = 0, 0, 0, False, 0
+        self.live, self.size, self.list_size, self.ended_size = 0, 0, 0, 0
+        self.failed, self.compactions = False, 0
         self.pending: list[bytes] = []
         folder.mkdir(parents=True, exist_ok=True)
         self.spare.unlink(missing_ok=True)
@@ -87,7 +91,8 @@
         at = 0
         readers: dict[str, Callable[[list[Any], bytes], None]] = {
             "taken": self._taken, "attempt": self._attempt, "outcome": self._outcome, "over": self._over,
-            "owed": self._owed, "told": self._told, "list": self._list, "outage": self._outage}
+            "ended": self._ended, "owed": self._owed, "told": self._told, "list": self._list,
+            "outage": self._outage}
         while at + HEAD.size <= len(data):
             length, check = HEAD.unpack_from(data, at)
             payload = data[at + HEAD.size:at + HEAD.size + length]
@@ -135,6 +140,18 @@
         m = self.messages.pop(rest[0], None)
         if m is not None:
             self.live -= m.size
+            self._ended([[m.id]])
+
+    def _ended(self, rest: list[Any], body: bytes = b"") -> None:
+        """What is over must be known again: taken on a second time, it would be sent a second time."""
+        for name in rest[0]:
+            if name not in self.ended:
+                self.ended[name] = None
+                self.ended_size += len(name) + 3
+        while len(self.ended) > MOST_ENDED:
+            oldest = next(iter(self.ended))
+            del self.ended[oldest]
+            self.ended_size -= len(oldest) + 3
 
     def _owed(self, rest: list[Any], body: bytes = b"") -> None:
         self._over(rest)
@@ -207,9 +224,13 @@
         return _record(("taken", m.id, m.class_name, m.destination, m.due_us, m.key, m.tenant,
                         m.attempts, m.ran_at_us, m.ran_on, out), m.body)
 
+    def knows(self, name: str) -> bool:
+        """Whether a message of that id was taken on, be it over or not."""
+        return name in self.messages or name in self.ended
+
     def has_room(self, more: int) -> bool:
         """Whether one more message of that size leaves room for a compacted file beside the old one."""
-        others = 200 * len(self.owed) + self.list_size + 100 * len(self.outages)
+        others = 200 * len(self.owed) + self.ended_size + self.list_size + 100 * len(self.outages)
         return not self.failed and 2 * (self.live + more + PER_MESSAGE + others) + ROOM <= self.most
 
     def flush(self) -> None:
@@ -219,7 +240,8 @@
         data = b"".join(self.pending)
         self.pending = []
         after = self.size + len(data)
-        due = after > max(LEAST_COMPACT, 4 * self.live) or after + self.live + ROOM // 2 > self.most
+        kept = self.live + self.ended_size
+        due = after > max(LEAST_COMPACT, 4 * kept) or after + kept + ROOM // 2 > self.most
         if (due or self.failed) and self.compact():
             return  # memory is ahead of the file, so the new file holds these records too
         try:
@@ -242,6 +264,7 @@
         """Write what still counts into a new file, and put it in the old one's place."""
         records = [_record(("list", self.seq, [*self.hosts.values()]))]
         records += [_record(("outage", h, *o)) for h, o in self.outages.items()]
+        records.append(_record(("ended", [*self.ended])))
         records += [self._message(m) for m in self.messages.values()]
         records += [_record(("owed", name, *end)) for name, end in self.owed.items()]
         data = b"".join(records)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,7 +14,7 @@
 from lemonshunt.net.config import Address
 from lemonshunt.net.engine import Clock
 from lemonshunt.net.server import Door, Handed, Server
-from lemonshunt.net.store import Store, Taken
+from lemonshunt.net.store import MOST_ENDED, Store, Taken
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, SETTINGS, Answer, Peer, Request, always, hang, message
 
@@ -44,6 +44,7 @@
         assert (a.attempts, a.ran_at_us, a.ran_on, a.out) == (2, 50, "s1", {1: (60, "s2")})
         assert (back.messages["b"].attempts, back.messages["b"].ran_at_us) == (1, -1)
         assert back.owed == {"d": ("returned", 500, "k-d")} and back.outages == {"s1": (5, -1)}
+        assert list(back.ended) == ["c", "d"] and back.knows("c") and not back.knows("e")
         assert (back.seq, back.hosts) == (41, store.hosts) and back.live == store.live
         assert store.compact()
 
@@ -59,6 +60,18 @@
     assert Store(tmp_path, 1_000_000).messages == {}
 
 
+def test_store_forgets_the_oldest_ids_and_keeps_to_its_size(tmp_path: Path) -> None:
+    store = Store(tmp_path, 1_000_000)
+    for n in range(MOST_ENDED + 1000):
+        store.take(taken(f"{n:016x}"))
+        store.over(f"{n:016x}")
+        store.flush()
+        assert store.size < 1_000_000
+    back = Store(tmp_path, 1_000_000)
+    assert len(back.ended) == MOST_ENDED and back.knows(f"{MOST_ENDED + 999:016x}")
+    assert not back.knows(f"{999:016x}") and back.has_room(60_000)
+
+
 def test_a_bit_gone_wrong_cuts_the_journal_there(tmp_path: Path) -> None:
     store = Store(tmp_path, 1_000_000)
     for name in "abc":
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -169,6 +169,25 @@
     play(scene, tmp_path)
 
 
+def test_an_id_that_is_over_is_not_taken_on_again_also_after_a_restart(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK, Answer(500), OK))
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("done", "pay"))[0] == 202
+        await peer.got(1)
+        assert (await node.hand_in("lost", "pay"))[0] == 202
+        await platform.notice("lost")
+        for n in range(2):
+            for name in ("done", "lost"):
+                assert (await node.hand_in(name, "pay"))[0] == 202
+            assert (await node.hand_in(f"next{n}", "pay"))[0] == 202
+            await peer.got(3 + n)
+            assert await node.end(signal.SIGTERM) == 0  # what it had out is over then
+            await node.start()
+        assert ids(peer) == ["done", "lost", "next0", "next1"]
+    play(scene, tmp_path)
+
+
 def test_attempts_spent_before_a_restart_stay_spent(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         peer = await target(platform, hang)
