Watch the list whatever the settings say of the simulator's discovery

Cause: the module asks for the list only where the settings say 'on_request'. This site's say 'pushed', which is the simulator's way; on sockets discovery answers nobody who does not ask, so no change was ever heard after the start. Ruled out: news dropped on its way, as the log has no watch that failed or began.

--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -49,7 +49,9 @@
 class Engine:
     def __init__(self, config: Config) -> None:
         self.config, self.clock = config, Clock()
-        s = replace(config.settings, ends_confirmed=True)
+        # On sockets an end is known when its notice is answered, and the list always has to be asked for,
+        # whatever the settings say of the simulator's discovery.
+        s = replace(config.settings, ends_confirmed=True, subscribe=True)
         self.store = Store(config.state, config.disk_bytes)
         self.dispatcher = Dispatcher(s, config.seed, self.clock())
         # A share of the descriptors for each side; the rest is for files, discovery and the listener.
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -189,11 +189,11 @@
     """The real program, on its folder."""
 
     def __init__(self, folder: Path, platform: Platform, known: dict[str, Any] | None = None,
-                 disk_mb: float = 3, **allowed: Any) -> None:
+                 disk_mb: float = 3, discovery: str = "on_request", **allowed: Any) -> None:
         self.folder, self.port = folder, free_port()
         self.log: list[str] = []
         (folder / "state").mkdir(exist_ok=True)
-        settings = {**SETTINGS, "allowed": {**SETTINGS["allowed"], **allowed}}
+        settings = {**SETTINGS, "discovery": discovery, "allowed": {**SETTINGS["allowed"], **allowed}}
         config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{platform.port}",
                   "seed": "5", "limits": {"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": disk_mb},
                   "known": known or platform.listing(), "settings": settings}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,20 @@
 
 import pytest
 
-from tests.sockets import OK, ROOT, SETTINGS, Answer, Node, Peer, Platform, always, free_port, hang, message
+from tests.sockets import (
+    OK,
+    PATIENCE,
+    ROOT,
+    SETTINGS,
+    Answer,
+    Node,
+    Peer,
+    Platform,
+    always,
+    free_port,
+    hang,
+    message,
+)
 
 Scene = Callable[[Platform, Path], Awaitable[None]]
 
@@ -257,6 +270,17 @@
     play(scene, tmp_path)
 
 
+@pytest.mark.parametrize("discovery", ["on_request", "pushed"])
+def test_the_list_is_watched_whatever_the_settings_say_of_discovery(tmp_path: Path, discovery: str) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(OK))
+        await node_on(folder, platform, discovery=discovery)
+        await platform.got(1)
+        await platform.change("s1", "draining")
+        await platform.until(lambda: any("from=2" in r.path for r in platform.requests))
+    play(scene, tmp_path)
+
+
 def test_drained_target_gets_nothing_more_also_after_a_restart_with_an_old_list(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         one = await target(platform, always(OK))
@@ -520,8 +544,9 @@
         config = json.loads((folder / "config.json").read_text())
         (folder / "config.json").write_text("{")
         node.process.send_signal(signal.SIGHUP)
-        while not any("left as it was" in line for line in node.log):
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(PATIENCE):
+            while not any("left as it was" in line for line in node.log):
+                await asyncio.sleep(0.01)
         new = Platform()
         await new.start()
         new.hosts, new.seq = platform.hosts, platform.seq
