Wait on a list of version 0 instead of asking for it without end

Cause: version 0 was taken for 'no list yet', so the whole list was asked for and taken in as news again and again. Hidden until the list was watched at all.

--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -102,7 +102,8 @@
 
 
 class Watch:
-    """Follows the list from a version on. Tells its first failure and ends; the module asks again."""
+    """Follows the list from a version on (-1: has none, and asks for the whole first). Tells its first failure
+    and ends; the module asks again."""
 
     def __init__(self, where: Address, seq: int, listed: Callable[[HostList | None], None]) -> None:
         self.client, self.seq, self.listed = Client(where), seq, listed
@@ -124,7 +125,7 @@
     async def follow(self) -> None:
         while True:
             path, wait = "/discovery/hosts", ANSWER_S
-            if self.seq > 0:
+            if self.seq >= 0:  # a list that never changed may well be version 0
                 path, wait = f"{path}?from={self.seq}&hold_ms={HOLD_MS}", LATE_S + HOLD_MS / 1000
             asked = time.monotonic()
             try:
@@ -137,8 +138,9 @@
                 self.task = None
                 self.listed(None)
                 return
-            news, self.seq = told.seq != self.seq or told.hosts, told.seq
-            self.listed(told)
+            news, self.seq = told.seq != self.seq, told.seq
+            if news or not told.whole:
+                self.listed(told)
             if not news and time.monotonic() - asked < LEAST_WATCH_S:
                 await asyncio.sleep(LEAST_WATCH_S)  # a discovery that answers at once must not spin us
 
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -80,7 +80,7 @@
     # Starting
 
     def recover(self) -> int:
-        """Tell the module what the journal holds. Returns the version of the list that is newest."""
+        """Tell the module what the journal holds. Returns the newest version of the list, -1 for none."""
         known, kept = self.config.known, self.store
         if kept.seq >= known.seq:  # `known` may be older than what this forwarder was told of drains
             known = HostList(kept.seq, True, tuple(host(raw) for raw in kept.hosts.values()))
@@ -100,7 +100,7 @@
                         if owed.key is not None]
         if kept.messages or kept.owed:
             log.info("took up %d messages and %d owed ends again", len(kept.messages), len(kept.owed))
-        return known.seq
+        return known.seq if known.hosts else -1
 
     async def run(self) -> None:
         where = self.config.listen
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -147,8 +147,8 @@
         if self.garbage:
             self.garbage -= 1
             return Answer(200, body=b'{"seq": "x", "hosts": [3')
-        since = int(request.path.partition("from=")[2].partition("&")[0] or 0)
-        if since <= 0:
+        since = int(request.path.partition("from=")[2].partition("&")[0] or -1)
+        if since < 0:
             return Answer(200, body=json.dumps(self.listing()).encode())
         async with self.changed:
             await self.changed.wait_for(lambda: self.seq > since)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -281,6 +281,22 @@
     play(scene, tmp_path)
 
 
+def test_a_list_of_version_0_is_waited_on_like_any_other(tmp_path: Path) -> None:
+    """Asked for in whole again and again, it took the loop's time and filled the journal."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        platform.seq = 0
+        node = await node_on(folder, platform, discovery="pushed")
+        await platform.got(1)
+        for n in range(20):
+            assert (await node.hand_in(f"m{n}"))[0] == 202
+        await peer.got(20)
+        assert [r.path.partition("&")[0] for r in platform.requests] == ["/discovery/hosts?from=0"]
+        await platform.change("s1", "draining")
+        await platform.until(lambda: any("from=1" in r.path for r in platform.requests))
+    play(scene, tmp_path)
+
+
 def test_drained_target_gets_nothing_more_also_after_a_restart_with_an_old_list(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         one = await target(platform, always(OK))
