--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -73,7 +73,6 @@
         self.ask_pause, self.cleared_at, self.shed_at = ASK_AGAIN_US, now, now - FORGET_US
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.lines: dict[str, Line] = {}
-        self.ending: dict[str, Line] = {}
         self.purses: dict[str, int] = {}
         self.calls_out, self.taken, self.armed = 0, 0, -1
         self.round_calls: dict[int, Call] = {}
@@ -97,11 +96,10 @@
                     t.outage_at, t.back_at = event.since_us, event.back_us
                     t.failing, t.tried_at = SURE_MARK, now
                 case i.EndRecalled():
-                    self.await_end(event.message, event.key, 0)
-                case i.Confirmed() if event.message in self.ending:
-                    line = self.ending.pop(event.message)
-                    del line.ending[event.message]
-                    self.next_in(line)
+                    self.lines.setdefault(event.key, Line()).ending[event.message] = 0
+                case i.Confirmed() if event.key in self.lines:
+                    self.lines[event.key].ending.pop(event.message, None)
+                    self.next_in(self.lines[event.key])
                 case i.Ended():
                     self.ended(event)
                 case i.Listed():
@@ -208,15 +206,10 @@
         safe = m.cls.effect is i.Effect.REPEATABLE or (m.ran_at < 0 and not m.out) or (
             m.cls.effect is i.Effect.KEYED and m.cls.scope is i.Scope.ALL)
         self.actions.append(i.Refuse(m.id, self.retry_after(m)) if safe else i.Fail(m.id))
-        if m.key is not None and self.s.ends_confirmed:
-            self.await_end(m.id, m.key, m.number)
+        if m.key is not None and self.s.ends_confirmed:  # rule 6: not over for its key until it is heard
+            self.lines[m.key].ending[m.id] = m.number
         self.over(m)
 
-    def await_end(self, name: str, key: str, number: int) -> None:
-        """Rule 6: until an end has been heard its message is not over, and those behind it keep waiting."""
-        line = self.ending[name] = self.lines.setdefault(key, Line())
-        line.ending[name] = number
-
     def retry_after(self, m: Message) -> int:
         """How long the client should stay away: until the destination's wait or rest is over."""
         ends = [max(t.place.wait_until, t.place.rest_until) for t in self.usable(m)]
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -239,9 +239,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Confirmed:
-    """The end that the dispatcher gave a message has been heard."""
+    """The end that the dispatcher gave a message with a key has been heard."""
 
     message: str
+    key: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -102,7 +102,7 @@
 
 
 class Watch:
-    """Follows the list from a version on (-1: has none, and asks for the whole first). Tells its first failure
+    """Follows the list from a version on (-1: has none and asks for the whole first). Tells its first failure
     and ends; the module asks again."""
 
     def __init__(self, where: Address, seq: int, listed: Callable[[HostList | None], None]) -> None:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -272,7 +272,7 @@
             return
         for a in actions:
             if isinstance(a, i.Refuse | i.Fail) and a.message in arriving:
-                self.turn_away(arriving.pop(a.message)[1], a)
+                self.turn_away(*arriving.pop(a.message), a)
         for handed, _ in arriving.values():
             self.store.take(Taken(handed.id, handed.class_name, handed.destination, handed.due_us,
                                   handed.key, handed.tenant, handed.body))
@@ -310,7 +310,7 @@
         if self.store.owed:
             self.notices.kick()
 
-    def turn_away(self, door: Door, a: i.Refuse | i.Fail) -> None:
+    def turn_away(self, handed: Handed, door: Door, a: i.Refuse | i.Fail) -> None:
         """Given up in the round in which it came: the client hears so, and it was never taken on."""
         if isinstance(a, i.Fail):
             door.answer(HTTPStatus.INTERNAL_SERVER_ERROR, "cannot be delivered")
@@ -318,7 +318,8 @@
             door.answer(HTTPStatus.TOO_MANY_REQUESTS, "refused", Retry_After=f"{a.wait_us / SECOND:.3f}")
         else:
             door.answer(HTTPStatus.TOO_MANY_REQUESTS, "refused")
-        self.post(i.Confirmed(a.message))
+        if handed.key is not None:
+            self.post(i.Confirmed(handed.id, handed.key))
 
     def send(self, a: i.Send, now: int, forming: dict[int, Call],
              calls: list[i.CloseIdle | Call | i.Cancel]) -> None:
@@ -373,8 +374,10 @@
 
     def acknowledged(self, names: list[str]) -> None:
         for name in names:
+            end = self.store.owed.get(name)
+            if end is not None and end.key is not None:
+                self.post(i.Confirmed(name, end.key))
             self.store.told(name)
-            self.post(i.Confirmed(name))
         self.store.flush()
 
     # Stopping
