Time once-only calls out after two aims instead of waiting to their end

Cause: a call that must not run twice was waited for till its message's end, so a few silent targets held most slots from all other destinations.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -221,6 +221,17 @@
         assert [a for a in told if isinstance(a, i.Fail)] and not [a for a in told if isinstance(a, i.Outage)]
 
 
+def test_a_silent_target_does_not_keep_the_slot_of_a_once_only_call_to_its_end() -> None:
+    """event7785: slots were held for up to 12 s, where a usual call took 60 ms."""
+    long = i.MessageClass("long", 2 * S, 60 * S, i.Effect.ONCE)
+    d = started(classes=(long,))
+    out = sends(d.handle(0, [ask("a", cls="long", due=60 * S)]))[0]
+    assert 2 * S < out.timeout_us <= 4 * S
+    assert finals(d.handle(out.timeout_us, [end(out, LATE, took=out.timeout_us)])) == [i.Fail("a")]
+    late = sends(d.handle(50 * S, [ask("b", cls="long", due=51 * S)]))[0]
+    assert late.timeout_us == S
+
+
 def test_key_rests_after_a_restart_cut_off_its_attempt() -> None:
     d = started(ONE)
     told = d.handle(0, [i.Recalled("a", 10, "turns", 8 * S, "k", None, 6, 0, 1, True),
