--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -474,6 +474,6 @@
         self.actions.append(i.Send(m.id, t.id, self.timeout(m, place)))
 
     def timeout(self, m: Message, place: Place) -> int:
-        """How long an attempt may take. To give up one that must not run twice is to lose it: it has longer."""
+        """How long an attempt may take. To give up one that must not run twice is to lose it: it has more."""
         patience = m.cls.aim_us * (ONCE_AIMS if m.cls.effect is i.Effect.ONCE else 1)
         return min(m.due - self.now, max(patience, int(TIMEOUT_CALLS * self.expected(place, m.cls))))
