Believe a first line with 200 only when it is whole

Suspected cause: since the mend of unreadable answers a status counted as soon as its digits had come, so an answer cut within its first line ended the message here and not at the endpoint.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -302,8 +302,10 @@
         report = self.report(reader)
         # A first line with 200 is a delivery though the rest is cut; of several, only the whole answer tells.
         # Nothing else that is cut or garbled may be believed: not a refusal either, for it may have run.
-        if broken and (reader.status != 200 or many):
-            self.finish(call, Result(self.broken(call, reader)), report)
+        if broken:
+            ok = reader.says_ok() and not many
+            outcome = Outcome.DELIVERED if ok else self.broken(call, reader)
+            self.finish(call, Result(outcome, closed=ok), report)
             return
         if reader.status == 200 and many:
             self.batch_ended(call, reader, report)
--- a/lemonshunt/net/http.py
+++ b/lemonshunt/net/http.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable
 
 import httptools
 
 MOST_BODY = 64 * 1024
+MOST_FIRST = 256
+FIRST_OK = re.compile(rb"HTTP/1\.[01] 200( [^\r\n]*)?\r?\n")
 MOST_LIST = 8 * 1024 * 1024
 Headers = dict[str, str]
 
@@ -16,7 +19,7 @@
 
 
 class ResponseReader:
-    """Collects one answer after the other; `status` is known as soon as the first line tells it."""
+    """Collects one answer after the other; `status` is known as soon as the headers are whole."""
 
     def __init__(self, most: int = MOST_BODY) -> None:
         self.most = most
@@ -26,6 +29,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.status, self.begun, self.complete, self.keep_alive = 0, False, False, False
         self.headers: Headers = {}
+        self.first = b""  # the start of what came, for its first line
         self.size = 0
         self.parts: list[bytes] = []
 
@@ -35,6 +39,8 @@
 
     def feed(self, data: bytes) -> None:
         self.begun = True
+        if len(self.first) < MOST_FIRST:
+            self.first += data[:MOST_FIRST]
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -44,10 +50,11 @@
         if self.size > self.most:
             raise BadAnswer("the answer is too large")
 
-    # Called by the parser
+    def says_ok(self) -> bool:
+        """Whether the first line is whole and says 200, whatever is wrong with the rest."""
+        return self.status == 200 or FIRST_OK.match(self.first) is not None
 
-    def on_status(self, reason: bytes) -> None:
-        self.status = self.parser.get_status_code()
+    # Called by the parser
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.size += len(name) + len(value)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -334,7 +334,7 @@
 
 @pytest.mark.parametrize("cut", [b"HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\nab", b"HTTP/1.1 503 No\r\n",
                                  b"HTTP/1.1 429 No\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-                                 b"HTTP/1.1 410 Gone\r\nContent-Length: x\r\n\r\n"])
+                                 b"HTTP/1.1 410 Gone\r\nContent-Length: x\r\n\r\n", b"HTTP/1.1 200 O"])
 def test_a_refusal_that_cannot_be_read_may_have_run(tmp_path: Path, cut: bytes) -> None:
     """Believed, it had what must not run twice sent once more."""
     async def scene(platform: Platform, folder: Path) -> None:
