Give a whole call up when the time of one of its messages is up

Cause: a message whose time ran out in a batch had its end told while the call stayed out for the others, and its key's next message went beside it. Ruled out: the time-out of a call of one message, which closes its connection.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -236,17 +236,16 @@
             call.timer.cancel()
             call.timer = None
         if call.open:
-            # A call is given up by closing its connection, for all its messages or for none: one that timed
-            # out sooner would be sent again while this call still carries it. It waits for the last of them.
-            call.until_us = max(item.until_us for item in call.open.values())
-            first = min(call.until_us, *(item.due_us for item in call.open.values()))
-            delay = max(0, first - self.clock()) / SECOND
+            # A call is given up by closing its connection, for all its messages or for none: while it carries
+            # one that has ended here, that one may not go again, nor the next of its key. So all wait for the
+            # last of them, but not past the time of any: its end is owed then.
+            call.until_us = min(max(item.until_us for item in call.open.values()),
+                                *(item.due_us for item in call.open.values()))
+            delay = max(0, call.until_us - self.clock()) / SECOND
             call.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.timed_out, call)
 
     def timed_out(self, call: Call) -> None:
-        now = self.clock()
-        late = [item for item in call.open.values() if min(call.until_us, item.due_us) <= now]
-        self.give_up(call, late, Outcome.TIMED_OUT)
+        self.give_up(call, list(call.open.values()), Outcome.TIMED_OUT)
 
     def cancel(self, message: str, attempt: int) -> None:
         call = self.calls.get((message, attempt))
