Count no call as written on a connection that was dead already

Cause: a write that failed at once left an empty buffer, which counted as all written, so a message that must not run twice was failed though not a byte had left. Such a call now takes the next connection or a new one.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -88,12 +88,16 @@
     def closing(self) -> bool:
         return self.transport is None or self.transport.is_closing()
 
-    def start(self, call: Call, data: bytes) -> None:
+    def start(self, call: Call, data: bytes) -> bool:
+        """Write a call. False where the connection was dead already: not a byte of the call has left then."""
         assert self.transport is not None
         self.reader.renew()
-        self.call, call.connection = call, self
         self.transport.write(data)
+        if self.transport.is_closing():
+            return False
+        self.call, call.connection = call, self
         call.written = self.transport.get_write_buffer_size() == 0
+        return True
 
     def close(self) -> None:
         if self.transport is not None:
@@ -171,8 +175,7 @@
         idle = self.idle.get(call.target, [])
         while idle:
             connection = idle.pop()
-            if not connection.closing():
-                connection.start(call, self.render(call))
+            if not connection.closing() and connection.start(call, self.render(call)):
                 return
         if len(self.all) + len(self.dials) >= self.most and not self.make_room():
             self.finish(call, Result(Outcome.NO_CONNECTION))
@@ -210,8 +213,8 @@
             # A wait that was told meanwhile binds this call too, though it was decided before.
             self.finish(call, Result(Outcome.NOT_SENT))
             self.keep(connection, call.target)
-        else:
-            connection.start(call, self.render(call))
+        elif not connection.start(call, self.render(call)):
+            self.finish(call, Result(Outcome.NO_CONNECTION))
 
     def render(self, call: Call) -> bytes:
         """The bytes of a call for those of its messages that are still open."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -190,6 +190,41 @@
         pass
 
 
+class Dead(HalfWritten):
+    """A transport whose peer reset it while it was idle: the write finds that out."""
+
+    dead = False
+
+    def write(self, data: object) -> None:
+        self.dead = True
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def is_closing(self) -> bool:
+        return self.dead
+
+
+def test_a_call_that_finds_its_connection_dead_takes_another() -> None:
+    """It counted as written, so that what must not run twice was lost though not a byte had left."""
+    async def scene() -> None:
+        ends: list[i.Ended] = []
+        peer = await Peer(always(OK)).start()
+        p = pool(ends)
+        p.serving({1: Address("127.0.0.1", peer.port)})
+        for _ in range(2):
+            connection = Connection(p)
+            connection.connection_made(Dead())
+            p.keep(connection, 1)
+        p.start(call(Clock(), "m"))
+        async with asyncio.timeout(20):
+            while not ends:
+                await asyncio.sleep(0.005)
+        assert [e.outcome for e in ends] == [i.Outcome.DELIVERED] and len(peer.requests) == 1
+        p.close()
+    asyncio.run(scene())
+
+
 def test_connection_that_breaks_before_the_last_byte_is_written_never_ran() -> None:
     async def scene() -> None:
         ends: list[i.Ended] = []
