--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -57,6 +57,8 @@
     name: str
     listen: Address
     discovery: Address
+    control: Address | None
+    """Where operators call; None where they do not."""
     state: Path
     seed: int
     memory_mb: int
@@ -105,10 +107,12 @@
         state = environ.get("LB_STATE")
         if not state:
             raise ConfigError("LB_STATE is not set")
+        control = environ.get("LB_CONTROL") or told.get("control")
         return Config(
             name=environ.get("LB_NAME") or need(told, "name", str),
             listen=address(environ.get("LB_LISTEN") or need(told, "listen", str)),
             discovery=address(not again and environ.get("LB_DISCOVERY") or need(told, "discovery", str)),
+            control=None if control is None else address(control),
             state=Path(state),
             seed=zlib.crc32(str(told.get("seed", "")).encode()),
             memory_mb=int(limits.get("memory_mb", 192)),
--- /dev/null
+++ b/lemonshunt/net/control.py
@@ -0,0 +1,133 @@
+"""Where operators call: a connection carries one line, and is answered by a line with `ok` or `fail`.
+
+It decides nothing: what a call does is the engine's. A line counts only with its end, since what comes
+before it may be the start of another id.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable, Mapping
+
+MOST_LINE = 256
+MOST_CALLERS = 32
+PATIENCE_S = 0.5  # a caller that has sent no whole line by then is told so
+LINGER_S = 1.0  # after an answer, for callers that are still sending
+BACKLOG = 128
+log = logging.getLogger("lemonshunt.control")
+
+
+class Refused(Exception):
+    """The call cannot be carried out; the text says why, in one line."""
+
+
+Calls = Mapping[str, Callable[[str], str]]
+"""For each word what it does with the rest of its line: it returns what to tell, or raises Refused."""
+
+
+def alone(call: Callable[[], str]) -> Callable[[str], str]:
+    """A call that stands alone on its line."""
+    def checked(rest: str) -> str:
+        if rest:
+            raise Refused("this call stands alone")
+        return call()
+    return checked
+
+
+class Caller(asyncio.Protocol):
+    """One connection, for one call."""
+
+    def __init__(self, control: Control) -> None:
+        self.control = control
+        self.transport: asyncio.Transport | None = None
+        self.line = b""
+        self.answered = False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.timer = asyncio.get_running_loop().call_later(PATIENCE_S, self.answer, "fail no whole line came")
+        self.control.joined(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.answered:
+            return
+        line, end, _ = (self.line + data[:MOST_LINE + 1]).partition(b"\n")
+        self.line = line
+        if len(line) > MOST_LINE:
+            self.answer("fail the line is too long")
+        elif end:
+            self.answer(self.control.call(line))
+
+    def eof_received(self) -> bool:
+        if not self.answered:
+            self.answer("fail the line has no end")
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.control.callers.pop(self, None)
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def answer(self, text: str) -> None:
+        """Answer, and close once the caller has had time to read: a close over unread bytes is a reset."""
+        if self.answered or self.transport is None or self.transport.is_closing():
+            return
+        self.answered = True
+        self.transport.write(text.encode() + b"\n")
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = asyncio.get_running_loop().call_later(LINGER_S, self.transport.close)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+
+class Control:
+    """Listens for operators."""
+
+    def __init__(self, calls: Calls) -> None:
+        self.calls = calls
+        self.callers: dict[Caller, None] = {}  # the oldest first
+        self.listener: asyncio.Server | None = None
+
+    async def listen(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(lambda: Caller(self), sock=sock, backlog=BACKLOG)
+
+    def joined(self, caller: Caller) -> None:
+        self.callers[caller] = None
+        if len(self.callers) > MOST_CALLERS:
+            oldest = min(self.callers, key=lambda c: not c.answered)
+            oldest.answer("fail too many callers")
+            self.callers.pop(oldest)
+            oldest.close()
+
+    def call(self, line: bytes) -> str:
+        """Carry out one line. Returns the answer."""
+        try:
+            word, _, rest = line.decode("ascii").strip().partition(" ")
+            if word not in self.calls:
+                raise Refused("no such call")
+            return f"ok {self.calls[word](rest.strip())}".rstrip()
+        except UnicodeDecodeError:
+            text = "fail not a readable line"
+        except Refused as refused:
+            text = f"fail {refused}"
+        except Exception:
+            log.exception("a call failed")
+            text = "fail internal fault"
+        log.warning("called %r: %s", line, text)
+        return text
+
+    def close(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+        for caller in list(self.callers):
+            caller.close()
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -16,8 +16,9 @@
 from lemonshunt.choice import Dispatcher
 from lemonshunt.net.client import Call, Item, Pool, fits
 from lemonshunt.net.config import Config, ConfigError, Host, HostList, host, load
+from lemonshunt.net.control import Control, Refused, alone
 from lemonshunt.net.discovery import Notices, Watch
-from lemonshunt.net.server import Door, Handed, Server
+from lemonshunt.net.server import Door, Handed, Server, bind
 from lemonshunt.net.store import Owed, Store, Taken
 
 ROUND_US = 5_000  # least time between rounds: what goes to one target in one round travels together
@@ -59,6 +60,7 @@
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us,
                          max(8, config.sockets // 3))
         self.notices = Notices(config.discovery, self)
+        self.control = Control({"HEALTH": alone(self.health)})
         self.batches = {k.name: k.batch for k in s.kinds}
         self.apart = {k.name for k in s.kinds if k.routes_apart}
         self.hosts: dict[str, Host] = {}
@@ -103,15 +105,17 @@
         return known.seq if known.hosts else -1
 
     async def run(self) -> None:
-        where = self.config.listen
         self.round()
         self.notices.kick()
-        await self.server.listen(where.host, where.port)
+        await self.server.listen(await bind(self.config.listen))
+        if self.config.control is not None:
+            await self.control.listen(await bind(self.config.control))
         log.info("ready")
         self.tick(time.monotonic())
         await self.done.wait()
         self.frozen = self.closed = True
         await self.server.close()
+        self.control.close()
         self.pool.close()
         self.store.close()
 
@@ -380,6 +384,13 @@
             self.store.told(name)
         self.store.flush()
 
+    # Operators' calls
+
+    def health(self) -> str:
+        if self.leaving_s:
+            raise Refused("stopping")
+        return "serving"
+
     # Stopping
 
     def stop(self) -> None:
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -5,6 +5,8 @@
 import asyncio
 import logging
 import math
+import socket
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -13,6 +15,7 @@
 import httptools
 
 from lemonshunt import interface as i
+from lemonshunt.net.config import Address
 from lemonshunt.net.http import MOST_BODY
 
 MOST_HEAD = 16 * 1024
@@ -20,9 +23,28 @@
 STALLED_US = 2_000_000  # no request for so long after connecting, or one half read: a peer is told within 3 s
 SWEEP_S = 0.25
 LINGER_S = 1.0
+BACKLOG = 512
+BIND_S = 5.0
 log = logging.getLogger("lemonshunt.server")
 
 
+async def bind(where: Address) -> socket.socket:
+    """A socket at an address, not listening yet."""
+    family = socket.AF_INET6 if ":" in where.host else socket.AF_INET
+    patience = time.monotonic() + BIND_S
+    while True:
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((where.host.strip("[]"), where.port))
+            return sock
+        except OSError:  # the process before may still be going
+            sock.close()
+            if time.monotonic() > patience:
+                raise
+        await asyncio.sleep(0.05)
+
+
 class BadRequest(Exception):
     def __init__(self, status: HTTPStatus, text: str) -> None:
         super().__init__(text)
@@ -248,16 +270,9 @@
         self.leaving = False
         self.listener: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> None:
+    async def listen(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        for attempt in range(100):
-            try:
-                self.listener = await loop.create_server(lambda: Door(self), host, port, backlog=512)
-                break
-            except OSError:  # the process before may still be going
-                if attempt == 99:
-                    raise
-                await asyncio.sleep(0.05)
+        self.listener = await loop.create_server(lambda: Door(self), sock=sock, backlog=BACKLOG)
         loop.call_later(SWEEP_S, self.sweep)
 
     def joined(self, door: Door) -> None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -190,12 +190,13 @@
 
     def __init__(self, folder: Path, platform: Platform, known: dict[str, Any] | None = None,
                  disk_mb: float = 3, discovery: str = "on_request", **allowed: Any) -> None:
-        self.folder, self.port = folder, free_port()
+        self.folder, self.port, self.control = folder, free_port(), free_port()
         self.log: list[str] = []
         (folder / "state").mkdir(exist_ok=True)
         settings = {**SETTINGS, "discovery": discovery, "allowed": {**SETTINGS["allowed"], **allowed}}
         config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{platform.port}",
-                  "seed": "5", "limits": {"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": disk_mb},
+                  "control": f"127.0.0.1:{self.control}", "seed": "5",
+                  "limits": {"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": disk_mb},
                   "known": known or platform.listing(), "settings": settings}
         (folder / "config.json").write_text(json.dumps(config))
 
@@ -231,6 +232,16 @@
         await self.end(sign)
         await self.start()
 
+    async def call(self, line: bytes) -> str:
+        """What an operator is answered; the connection is read to its end."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.control)
+        writer.write(line)
+        try:
+            async with asyncio.timeout(PATIENCE):
+                return (await reader.read()).decode()
+        finally:
+            writer.close()
+
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,7 +13,7 @@
 from lemonshunt.net.client import Call, Connection, Item, Pool
 from lemonshunt.net.config import Address
 from lemonshunt.net.engine import Clock
-from lemonshunt.net.server import Door, Handed, Server
+from lemonshunt.net.server import Door, Handed, Server, bind
 from lemonshunt.net.store import MOST_ENDED, Store, Taken
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, SETTINGS, Answer, Peer, Request, always, hang, message
@@ -340,7 +340,7 @@
             door.left = gone.set
             came.put_nowait(handed)
         server = Server(settings(SETTINGS), Clock(), 10, hand_in)
-        await server.listen("127.0.0.1", 0)
+        await server.listen(await bind(Address("127.0.0.1", 0)))
         assert server.listener is not None
         port = server.listener.sockets[0].getsockname()[1]
         _, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -360,7 +360,7 @@
     async def scene() -> None:
         clock = Skewed()
         server = Server(settings(SETTINGS), clock, 10, lambda handed, door: None)
-        await server.listen("127.0.0.1", 0)
+        await server.listen(await bind(Address("127.0.0.1", 0)))
         assert server.listener is not None
         port = server.listener.sockets[0].getsockname()[1]
         client = await asyncio.open_connection("127.0.0.1", port)
@@ -383,7 +383,7 @@
 def test_too_many_clients_cost_the_one_idle_longest() -> None:
     async def scene() -> None:
         server = Server(settings(SETTINGS), Clock(), 2, lambda handed, door: None)
-        await server.listen("127.0.0.1", 0)
+        await server.listen(await bind(Address("127.0.0.1", 0)))
         assert server.listener is not None
         port = server.listener.sockets[0].getsockname()[1]
         first, *others = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
