Drain at LEAVE and take clients again at JOIN

What SIGTERM did to clients is now net/drain.py, used by both: no at /up, answers that close their connection, idle connections closed from 1 s on, late ones served. A connection that is new keeps half a second for its first request.

--- /dev/null
+++ b/lemonshunt/net/drain.py
@@ -0,0 +1,38 @@
+"""Sends clients away without refusing one: for an operator's drain, and before the process ends."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lemonshunt.net.server import Server
+
+LATE_S = 1.0  # new connections come for a while, until the front has asked and heeded the no
+STEP_S = 0.05
+
+
+class Drain:
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.timer: asyncio.TimerHandle | None = None
+
+    @property
+    def on(self) -> bool:
+        return self.server.leaving
+
+    def leave(self) -> None:
+        """`/up` says no and every answer closes its connection from now on; idle ones are closed after a
+        while."""
+        if self.timer is None:
+            self.server.leaving = True
+            self.timer = asyncio.get_running_loop().call_later(LATE_S, self.step)
+
+    def step(self) -> None:
+        self.server.let_go()
+        self.timer = asyncio.get_running_loop().call_later(STEP_S, self.step)
+
+    def join(self) -> None:
+        """Back to work, in one step."""
+        self.server.leaving = False
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -18,12 +18,12 @@
 from lemonshunt.net.config import Config, ConfigError, Host, HostList, host, load
 from lemonshunt.net.control import Control, Refused, alone
 from lemonshunt.net.discovery import Notices, Watch
+from lemonshunt.net.drain import LATE_S, Drain
 from lemonshunt.net.server import Door, Handed, Server, bind
 from lemonshunt.net.store import Owed, Store, Taken
 
 ROUND_US = 5_000  # least time between rounds: what goes to one target in one round travels together
-LISTEN_S = 1.0  # after SIGTERM new connections come for a while
-FREEZE_S = 2.8  # then nothing new is sent, and what is out is waited for
+FREEZE_S = 2.8  # so long after SIGTERM nothing new is sent, and what is out is waited for
 EXIT_S = 3.3  # and this long after SIGTERM the process ends: SIGKILL may come at 3.7 s
 AWAY_S = "1"  # when to come again after a refusal at the door
 FULL_LOG_US = 10_000_000
@@ -60,7 +60,9 @@
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us,
                          max(8, config.sockets // 3))
         self.notices = Notices(config.discovery, self)
-        self.control = Control({"HEALTH": alone(self.health)})
+        self.drain = Drain(self.server)
+        self.control = Control({"HEALTH": alone(self.health), "LEAVE": alone(self.leave),
+                                "JOIN": alone(self.join)})
         self.batches = {k.name: k.batch for k in s.kinds}
         self.apart = {k.name for k in s.kinds if k.routes_apart}
         self.hosts: dict[str, Host] = {}
@@ -391,6 +393,18 @@
             raise Refused("stopping")
         return "serving"
 
+    def leave(self) -> str:
+        log.info("drain: clients are sent away")
+        self.drain.leave()
+        return "leaving"
+
+    def join(self) -> str:
+        if self.leaving_s:
+            raise Refused("stopping")
+        log.info("drain: back to work")
+        self.drain.join()
+        return "joined"
+
     # Stopping
 
     def stop(self) -> None:
@@ -399,12 +413,11 @@
             return
         self.leaving_s = time.monotonic()
         log.info("stopping: %d messages held, %d calls out", len(self.store.messages), self.pool.out)
-        self.server.leaving = True
-        asyncio.get_running_loop().call_later(LISTEN_S, self.stop_step)
+        self.drain.leave()
+        asyncio.get_running_loop().call_later(LATE_S, self.stop_step)
 
     def stop_step(self) -> None:
         passed = time.monotonic() - self.leaving_s
-        self.server.leave()
         if passed >= FREEZE_S and not self.frozen:
             if self.arriving or self.events:
                 self.round()
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -21,6 +21,7 @@
 MOST_HEAD = 16 * 1024
 MOST_WAITING = 8  # requests read ahead on one connection before reading stops
 STALLED_US = 2_000_000  # no request for so long after connecting, or one half read: a peer is told within 3 s
+NEW_US = 500_000  # a connection without a request yet is new for so long
 SWEEP_S = 0.25
 LINGER_S = 1.0
 BACKLOG = 512
@@ -316,11 +317,11 @@
                 return
             self.hand_in(handed, door)
 
-    def leave(self) -> None:
-        """Go on answering; let go of connections between requests only."""
-        self.leaving = True
+    def let_go(self) -> None:
+        """Close connections between requests only. One that is new may have its first request on the way."""
+        new = self.clock() - NEW_US
         for door in list(self.doors):
-            if door.idle():
+            if door.idle() and (door.asked or door.made_us < new):
                 door.close()
 
     async def close(self) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,7 +6,7 @@
 import signal
 from pathlib import Path
 
-from tests.sockets import OK, PATIENCE, Platform, always, message
+from tests.sockets import OK, PATIENCE, Client, Node, Platform, always, hang, message
 from tests.test_node import node_on, play, target
 
 
@@ -53,3 +53,50 @@
             await asyncio.sleep(0.01)
         assert (await node.call(b"HEALTH\n")).startswith("fail")
     play(scene, tmp_path)
+
+
+async def up(node: Node) -> int:
+    client = await node.client()
+    client.writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+    try:
+        return (await client.answer())[0]
+    finally:
+        client.writer.close()
+
+
+async def closes(client: Client) -> None:
+    async with asyncio.timeout(PATIENCE):
+        assert await client.reader.read() == b""
+
+
+def test_a_drain_lets_clients_go_between_requests_and_loses_nothing(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, hang)
+        node = await node_on(folder, platform)
+        idle, kept, half = [await node.client() for _ in range(3)]
+        for n, client in enumerate((idle, kept)):
+            assert (await client.hand_in(f"before{n}", "status"))[0] == 202
+        half.writer.write(message("half", "status")[:60])
+        for _ in range(2):
+            assert (await node.call(b"LEAVE\n")).startswith("ok")
+        assert await up(node) == 503
+        status, headers = await kept.hand_in("during", "status")
+        assert status == 202 and headers["connection"] == "close"
+        late = await node.client()
+        assert (await late.hand_in("late", "status"))[0] == 202
+        half.writer.write(message("half", "status")[60:])
+        assert (await half.answer())[0] == 202
+        for client in (idle, kept, half, late):
+            await closes(client)
+        assert (await node.call(b"HEALTH\n")).startswith("ok") and node.process.returncode is None
+        assert (await node.call(b"JOIN\n")).startswith("ok")
+        assert await up(node) == 200
+        stays = await node.client()
+        for n in range(2):
+            status, headers = await stays.hand_in(f"after{n}", "status")
+            assert status == 202 and "connection" not in headers
+        peer.handler = always(OK)
+        await node.restart()
+        names = {"before0", "before1", "during", "late", "half", "after0", "after1"}
+        await peer.until(lambda: {r.headers["x-correlation-id"] for r in peer.requests} == names)
+    play(scene, tmp_path)
