Leave an endpoint out at OFFLINE until ONLINE, whatever the list says and over a restart

Tests' nodes have a loopback address of their own now, since one port picked as free was in use by the time of a start when tests ran side by side.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -65,7 +65,8 @@
         self.kinds = {k.name: k for k in settings.kinds}
         self.tenants = {t.name: t for t in settings.tenants}
         self.targets: dict[int, Target] = {}
-        self.by_destination: dict[int, list[Target]] = {}
+        self.by_destination: dict[int, list[Target]] = {}  # those that messages may go to
+        self.banned: dict[int, int] = {}  # targets that operators leave out, since when
         self.places: dict[tuple[int, int], Place] = {}
         self.messages: dict[str, Message] = {}
         self.held, self.agenda, self.jammed = Held(), Agenda(), False
@@ -96,6 +97,11 @@
                 case i.OutageRecalled(target, since, back) if target in self.targets:
                     t = self.targets[target]
                     t.outage_at, t.back_at, t.failing, t.tried_at = since, back, SURE_MARK, now
+                case i.Banned(target, since):
+                    self.banned.setdefault(target, since)
+                    self.index()
+                case i.Unbanned(target) if target in self.banned:
+                    self.unbanned(target)
                 case i.EndRecalled():
                     self.lines.setdefault(event.key, Line()).ending[event.message] = 0
                 case i.Confirmed() if event.key in self.lines:
@@ -142,11 +148,24 @@
             gone = [t.id for t in self.targets.values() if not t.serving and not t.out]
             for number in gone[:len(self.targets) - MOST_TARGETS]:
                 del self.targets[number]
+        self.index()
+
+    def index(self) -> None:
+        """Which targets a message may go to has changed."""
         self.by_destination = {}
-        for target in filter(lambda t: t.serving, self.targets.values()):
-            self.by_destination.setdefault(target.destination, []).append(target)
+        for target in self.targets.values():
+            if target.serving and target.id not in self.banned:
+                self.by_destination.setdefault(target.destination, []).append(target)
         self.looks.update(self.held.piles)
 
+    def unbanned(self, number: int) -> None:
+        """A target that was left out comes back cold: it may have been restarted meanwhile."""
+        since, t = self.banned.pop(number), self.targets.get(number)
+        if t is not None:
+            t.outage_at, t.back_at = (t.outage_at if self.cold(t) else since), self.now
+            self.actions.append(i.Outage(t.id, t.outage_at, t.back_at))
+        self.index()
+
     def arrived(self, event: i.Arrived) -> None:
         """Take a message. One of an unknown class is failed: its effect is not known."""
         cls = self.classes.get(event.class_name)
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -213,6 +213,21 @@
     back_us: int = -1
 
 
+@dataclass(frozen=True, slots=True)
+class Banned:
+    """Operators leave a target out: it gets nothing new, whatever the list says."""
+
+    target: int
+    since_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unbanned:
+    """Operators use a target again; it may have been restarted meanwhile."""
+
+    target: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     left: float
@@ -269,8 +284,8 @@
     report: LoadReport | None = None
 
 
-Event = (Listed | Arrived | Recalled | OutageRecalled | EndRecalled | Ended | Confirmed | Withdrawn
-         | TimerDue | Probed)
+Event = (Listed | Arrived | Recalled | OutageRecalled | Banned | Unbanned | EndRecalled | Ended | Confirmed
+         | Withdrawn | TimerDue | Probed)
 
 
 # Actions
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -62,7 +62,7 @@
         self.notices = Notices(config.discovery, self)
         self.drain = Drain(self.server)
         self.control = Control({"HEALTH": alone(self.health), "LEAVE": alone(self.leave),
-                                "JOIN": alone(self.join)})
+                                "JOIN": alone(self.join), "OFFLINE": self.offline, "ONLINE": self.online})
         self.batches = {k.name: k.batch for k in s.kinds}
         self.apart = {k.name for k in s.kinds if k.routes_apart}
         self.hosts: dict[str, Host] = {}
@@ -88,7 +88,9 @@
         known, kept = self.config.known, self.store
         if kept.seq >= known.seq:  # `known` may be older than what this forwarder was told of drains
             known = HostList(kept.seq, True, tuple(host(raw) for raw in kept.hosts.values()))
+        kept.note_names(h.name for h in known.hosts)
         self.take_list(known)
+        self.events += [i.Banned(self.number(name), since) for name, since in kept.bans.items()]
         self.events.append(i.Listed(i.ListKind.SAVED, self.entries(known)))
         for name, (since, back) in kept.outages.items():
             if name in self.numbers:
@@ -154,11 +156,11 @@
     def log_state(self) -> None:
         """What a bad stretch is compared by with a good one; counts are since the start."""
         lines, store = self.dispatcher.lines.values(), self.store
-        log.info("state: %d held, %d of them in turn by %d keys; %d calls out, %d ends owed; "
+        log.info("state: %d held, %d of them in turn by %d keys; %d calls out, %d ends owed, %d left out; "
                  "%d clients, %d connections; %d rounds, %.1f s of CPU; "
                  "journal %d KB, %d KB live, %d compactions",
                  len(store.messages), sum(len(line.queue) for line in lines), len(lines), self.pool.out,
-                 len(store.owed), len(self.server.doors), len(self.pool.all), self.rounds,
+                 len(store.owed), len(store.bans), len(self.server.doors), len(self.pool.all), self.rounds,
                  time.process_time(), store.size // 1000, store.live // 1000, store.compactions)
 
     # Events
@@ -241,12 +243,18 @@
                 self.hosts.pop(h.name, None)
             else:
                 self.hosts[h.name] = h
-        self.pool.serving({self.number(h.name): h.dial for h in self.hosts.values() if h.health == "up"})
+        self.serving()
+
+    def serving(self) -> None:
+        """What the pool may call: the last check before the wire."""
+        self.pool.serving({self.number(h.name): h.dial for h in self.hosts.values()
+                           if h.health == "up" and h.name not in self.store.bans})
 
     def number(self, name: str) -> int:
         """The module's number for a target. Those long gone are forgotten, the oldest first."""
         if len(self.numbers) > MOST_TARGETS:
-            old = next((n for n in self.numbers if n not in self.hosts), None)
+            kept = self.hosts.keys() | self.store.bans.keys()
+            old = next((n for n in self.numbers if n not in kept), None)
             if old is not None:
                 del self.names[self.numbers.pop(old)]
         if name not in self.numbers:
@@ -393,6 +401,34 @@
             raise Refused("stopping")
         return "serving"
 
+    def offline(self, name: str) -> str:
+        """Leave an endpoint out from now on: when this returns, nothing more can leave for it."""
+        self.check_listed(name)
+        if name not in self.store.bans:
+            self.store.ban(name, self.clock())
+            self.carry_out(i.Banned(self.number(name), self.store.bans[name]))
+            log.info("maintenance: %s is left out", name)
+        return f"{name} is left out"
+
+    def online(self, name: str) -> str:
+        self.check_listed(name)
+        if name in self.store.bans:
+            self.store.ban(name, -1)
+            self.carry_out(i.Unbanned(self.number(name)))
+            log.info("maintenance: %s is used again", name)
+        return f"{name} is used"
+
+    def check_listed(self, name: str) -> None:
+        if name not in self.store.names and name not in self.store.bans:
+            raise Refused("no endpoint of that id was ever listed")
+
+    def carry_out(self, event: i.Event) -> None:
+        """What operators ask for is journaled and done before they hear of it."""
+        self.store.flush()
+        self.serving()
+        self.events.append(event)
+        self.round()
+
     def leave(self) -> str:
         log.info("drain: clients are sent away")
         self.drain.leave()
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -7,6 +7,7 @@
   over [id]; ended [ids], those that were over when the file was written anew
   owed [id, state, after_ms, key], an end that the platform has not acknowledged; told [id]
   list {seq, hosts}: the last list, since `known` may be older than what this forwarder was told of drains
+  names [hosts]: all that were ever listed; ban [host, since]: left out by operators, -1: not any more
   outage [host, since, back]: a target seen in an outage; its cold budget must hold across a restart too.
 Waits are not kept: a restart ends them. Windows and means are not either: they are soon learned anew.
 """
@@ -18,7 +19,7 @@
 import os
 import struct
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -29,6 +30,7 @@
 ROOM = 128 * 1024  # kept free for the small records that follow a message that was taken on
 LEAST_COMPACT = 256 * 1024  # below this size the file is left to grow
 OUTAGE_KEPT_US = 3_600_000_000
+MOST_NAMES = 2000  # hosts remembered that were once listed
 MOST_ENDED = 8192  # ids remembered after their end: more than a minute's at full load
 PER_MESSAGE = 400  # what a held message's further records may add to a compacted file
 log = logging.getLogger("lemonshunt.store")
@@ -74,6 +76,8 @@
         self.owed: dict[str, Owed] = {}
         self.outages: dict[str, tuple[int, int]] = {}
         self.hosts: dict[str, dict[str, Any]] = {}
+        self.names: dict[str, None] = {}  # all that were ever listed, those named longest ago first
+        self.bans: dict[str, int] = {}
         self.seq = -1
         self.live, self.size, self.list_size, self.ended_size = 0, 0, 0, 0
         self.failed, self.compactions = False, 0
@@ -92,7 +96,7 @@
         readers: dict[str, Callable[[list[Any], bytes], None]] = {
             "taken": self._taken, "attempt": self._attempt, "outcome": self._outcome, "over": self._over,
             "ended": self._ended, "owed": self._owed, "told": self._told, "list": self._list,
-            "outage": self._outage}
+            "outage": self._outage, "names": self._names, "ban": self._ban}
         while at + HEAD.size <= len(data):
             length, check = HEAD.unpack_from(data, at)
             payload = data[at + HEAD.size:at + HEAD.size + length]
@@ -165,6 +169,21 @@
         self.seq = rest[0]
         self.hosts = {h["host"]: h for h in rest[1]}
         self.list_size = 200 * len(self.hosts)
+        self._names([[*self.hosts]])
+
+    def _names(self, rest: list[Any], body: bytes = b"") -> None:
+        for name in rest[0]:
+            self.names.pop(name, None)
+            self.names[name] = None
+        while len(self.names) > MOST_NAMES:
+            del self.names[next(iter(self.names))]
+
+    def _ban(self, rest: list[Any], body: bytes = b"") -> None:
+        host, since = rest
+        if since < 0:
+            self.bans.pop(host, None)
+        else:
+            self.bans[host] = since
 
     def _outage(self, rest: list[Any], body: bytes = b"") -> None:
         host, since, back = rest
@@ -211,11 +230,23 @@
         self.outages = {h: o for h, o in self.outages.items() if max(o) > now_us - OUTAGE_KEPT_US}
         self.append("list", seq, [*hosts.values()])
         self.list_size = len(self.pending[-1])
+        self._names([[*hosts]])
 
     def outage(self, host: str, since_us: int, back_us: int) -> None:
         self._outage([host, since_us, back_us])
         self.append("outage", host, since_us, back_us)
 
+    def note_names(self, names: Iterable[str]) -> None:
+        """Hosts that were listed elsewhere than in a list record."""
+        fresh = [name for name in names if name not in self.names]
+        if fresh:
+            self._names([fresh])
+            self.append("names", fresh)
+
+    def ban(self, host: str, since_us: int) -> None:
+        self._ban([host, since_us])
+        self.append("ban", host, since_us)
+
     def append(self, *line: Any) -> None:
         self.pending.append(_record(line))
 
@@ -231,6 +262,7 @@
     def has_room(self, more: int) -> bool:
         """Whether one more message of that size leaves room for a compacted file beside the old one."""
         others = 200 * len(self.owed) + self.ended_size + self.list_size + 100 * len(self.outages)
+        others += 60 * (len(self.names) + len(self.bans))
         return not self.failed and 2 * (self.live + more + PER_MESSAGE + others) + ROOM <= self.most
 
     def flush(self) -> None:
@@ -263,6 +295,8 @@
     def compact(self) -> bool:
         """Write what still counts into a new file, and put it in the old one's place."""
         records = [_record(("list", self.seq, [*self.hosts.values()]))]
+        records.append(_record(("names", [*self.names])))
+        records += [_record(("ban", h, since)) for h, since in self.bans.items()]
         records += [_record(("outage", h, *o)) for h, o in self.outages.items()]
         records.append(_record(("ended", [*self.ended])))
         records += [self._message(m) for m in self.messages.values()]
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import signal
@@ -160,12 +161,21 @@
         return next(n for n in self.notices if n["id"] == name)
 
 
-def free_port() -> int:
+def free_port(host: str = "127.0.0.1") -> int:
     with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
+        s.bind((host, 0))
         return int(s.getsockname()[1])
 
 
+def own_host() -> str:
+    """A loopback address of the caller's own: a port that is free there now is free later too."""
+    pid = os.getpid()
+    return f"127.{1 + pid // 250 % 250}.{pid % 250}.{next(numbers)}"
+
+
+numbers = itertools.cycle(range(1, 255))
+
+
 SETTINGS: dict[str, Any] = {
     "allowed": {"conn_idle_us": 5_000_000, "dial_timeout_us": 1_000_000, "max_attempts": 6, "max_open": 50,
                 "max_retry_after_us": 3_000_000, "retry_after": True, "may_cancel": True},
@@ -190,16 +200,22 @@
 
     def __init__(self, folder: Path, platform: Platform, known: dict[str, Any] | None = None,
                  disk_mb: float = 3, discovery: str = "on_request", **allowed: Any) -> None:
-        self.folder, self.port, self.control = folder, free_port(), free_port()
+        self.folder, self.host = folder, own_host()
+        self.port, self.control = free_port(self.host), free_port(self.host)
         self.log: list[str] = []
         (folder / "state").mkdir(exist_ok=True)
         settings = {**SETTINGS, "discovery": discovery, "allowed": {**SETTINGS["allowed"], **allowed}}
-        config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{platform.port}",
-                  "control": f"127.0.0.1:{self.control}", "seed": "5",
+        config = {"name": "n0", "listen": f"{self.host}:{self.port}", "control": f"{self.host}:{self.control}",
+                  "discovery": f"127.0.0.1:{platform.port}", "seed": "5",
                   "limits": {"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": disk_mb},
                   "known": known or platform.listing(), "settings": settings}
         (folder / "config.json").write_text(json.dumps(config))
 
+    def configure(self, **changes: Any) -> None:
+        """What the next start, or SIGHUP, finds in the file."""
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(json.loads(path.read_text()) | changes))
+
     async def start(self) -> Node:
         env = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"),
                "LB_STATE": str(self.folder / "state"),
@@ -234,7 +250,7 @@
 
     async def call(self, line: bytes) -> str:
         """What an operator is answered; the connection is read to its end."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.control)
+        reader, writer = await asyncio.open_connection(self.host, self.control)
         writer.write(line)
         try:
             async with asyncio.timeout(PATIENCE):
@@ -243,7 +259,7 @@
             writer.close()
 
     async def client(self) -> Client:
-        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+        return Client(*await asyncio.open_connection(self.host, self.port))
 
     async def hand_in(self, name: str, cls: str = "order", **more: Any) -> tuple[int, dict[str, str]]:
         client = await self.client()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,7 +6,11 @@
 import signal
 from pathlib import Path
 
-from tests.sockets import OK, PATIENCE, Client, Node, Platform, always, hang, message
+import pytest
+
+from lemonshunt import interface as i
+from tests.scripts import ENTRIES, MS, S, ask, end, sends, started
+from tests.sockets import OK, PATIENCE, Client, Node, Peer, Platform, always, hang, message
 from tests.test_node import node_on, play, target
 
 
@@ -14,7 +18,7 @@
     async def scene(platform: Platform, folder: Path) -> None:
         await target(platform, always(OK))
         node = await node_on(folder, platform)
-        silent = [await asyncio.open_connection("127.0.0.1", node.control) for _ in range(100)]
+        silent = [await asyncio.open_connection(node.host, node.control) for _ in range(100)]
         for _, writer in silent[::2]:
             writer.write(b"HEAL")
         assert (await node.call(b"HEALTH\n")).startswith("ok")
@@ -33,7 +37,7 @@
     async def scene(platform: Platform, folder: Path) -> None:
         await target(platform, always(OK))
         node = await node_on(folder, platform)
-        reader, writer = await asyncio.open_connection("127.0.0.1", node.control)
+        reader, writer = await asyncio.open_connection(node.host, node.control)
         writer.write(b"HEALTH")
         writer.write_eof()
         async with asyncio.timeout(PATIENCE):
@@ -100,3 +104,64 @@
         names = {"before0", "before1", "during", "late", "half", "after0", "after1"}
         await peer.until(lambda: {r.headers["x-correlation-id"] for r in peer.requests} == names)
     play(scene, tmp_path)
+
+
+def names(peer: Peer) -> set[str]:
+    return {r.headers["x-correlation-id"] for r in peer.requests}
+
+
+@pytest.mark.parametrize("sign", [signal.SIGKILL, signal.SIGTERM])
+def test_an_endpoint_left_out_gets_nothing_new_until_the_call_back(tmp_path: Path, sign: int) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        one, two = await target(platform, always(OK)), await target(platform, always(OK), "s2")
+        node = await node_on(folder, platform)
+        for _ in range(2):
+            assert (await node.call(b"OFFLINE s1\n")).startswith("ok")
+        before = len(one.requests)
+        for n in range(8):
+            assert (await node.hand_in(f"banned{n}", "status"))[0] == 202
+        await two.got(8)
+        for health in ("draining", "up"):
+            await platform.change("s1", health)
+            await platform.until(lambda: any(f"from={platform.seq}" in r.path for r in platform.requests))
+        await node.restart(sign)
+        for n in range(8, 16):
+            assert (await node.hand_in(f"banned{n}", "status"))[0] == 202
+        await two.got(16)
+        assert len(one.requests) == before
+        await node.call(b"OFFLINE s2\n")
+        assert (await node.hand_in("waits", "status"))[0] == 202
+        assert (await node.call(b"ONLINE s1\n")).startswith("ok")
+        await one.got(before + 1)
+        assert names(one) == {"waits"} and len(two.requests) == 16
+    play(scene, tmp_path)
+
+
+def test_only_an_id_that_was_once_listed_can_be_left_out(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(OK))
+        await target(platform, always(OK), "s2")
+        node = await node_on(folder, platform)
+        await platform.got(1)
+        await platform.change("s2", "removed")
+        await platform.until(lambda: any("from=2" in r.path for r in platform.requests))
+        del platform.hosts["s2"]
+        node.configure(known=platform.listing())
+        await node.restart()
+        for line in (b"OFFLINE s3\n", b"ONLINE s3\n", b"OFFLINE\n", b"OFFLINE s1 s2\n", b"OFFLINE s\n"):
+            assert (await node.call(line)).startswith("fail"), line
+        for line in (b"OFFLINE s2\n", b"ONLINE s2\n", b"ONLINE s2\n", b"ONLINE s1\n"):
+            assert (await node.call(line)).startswith("ok"), line
+    play(scene, tmp_path)
+
+
+def test_an_endpoint_used_again_is_cold() -> None:
+    d = started()
+    d.handle(0, [i.Banned(1, 0), i.Banned(2, 0)])
+    assert not sends(d.handle(S, [ask("a"), ask("b"), ask("c")]))
+    d.handle(2 * S, [i.Listed(i.ListKind.WHOLE, ENTRIES)])
+    first = d.handle(3 * S, [i.Unbanned(1), i.Unbanned(1)])
+    assert [s.target for s in sends(first)] == [1], "one at a time, and none for the other"
+    assert i.Outage(1, 0, 3 * S) in first
+    again = d.handle(3 * S + 5 * MS, [end(sends(first)[0], i.Outcome.DELIVERED, took=5 * MS)])
+    assert not sends(again), "a cold endpoint gets turns"
