--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -205,8 +205,8 @@
         self.log: list[str] = []
         (folder / "state").mkdir(exist_ok=True)
         settings = {**SETTINGS, "discovery": discovery, "allowed": {**SETTINGS["allowed"], **allowed}}
-        config = {"name": "n0", "listen": f"{self.host}:{self.port}", "control": f"{self.host}:{self.control}",
-                  "discovery": f"127.0.0.1:{platform.port}", "seed": "5",
+        config = {"name": "n0", "seed": "5", "listen": f"{self.host}:{self.port}",
+                  "control": f"{self.host}:{self.control}", "discovery": f"127.0.0.1:{platform.port}",
                   "limits": {"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": disk_mb},
                   "known": known or platform.listing(), "settings": settings}
         (folder / "config.json").write_text(json.dumps(config))
