--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -60,18 +60,15 @@
     """Decides for one forwarder. Feed it every event; carry out, in order, the actions it returns."""
 
     def __init__(self, settings: i.Settings, seed: int, now: int) -> None:
-        self.s, self.now, self.random = settings, now, random.Random(seed)
-        self.classes = {c.name: c for c in settings.classes}
-        self.kinds = {k.name: k for k in settings.kinds}
-        self.tenants = {t.name: t for t in settings.tenants}
+        self.now, self.random = now, random.Random(seed)
         self.targets: dict[int, Target] = {}
         self.by_destination: dict[int, list[Target]] = {}  # those that messages may go to
         self.banned: dict[int, int] = {}  # targets that operators leave out, since when
         self.places: dict[tuple[int, int], Place] = {}
         self.messages: dict[str, Message] = {}
         self.held, self.agenda, self.jammed = Held(), Agenda(), False
-        many = settings.balancers > FEW
-        self.idle_us = self.idle_top = min(settings.conn_idle_us, IDLE_LEAST_US if many else FORGET_US)
+        self.tune(settings)
+        self.idle_us = self.idle_top
         self.ask_pause, self.cleared_at, self.shed_at = ASK_AGAIN_US, now, now - FORGET_US
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.lines: dict[str, Line] = {}
@@ -83,6 +80,14 @@
         if settings.subscribe:
             self.agenda.add(now, THE_LIST)
 
+    def tune(self, settings: i.Settings) -> None:
+        """Take on settings, the first or new ones. Held messages keep the class that they came with."""
+        self.s = settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.kinds = {k.name: k for k in settings.kinds}
+        self.tenants = {t.name: t for t in settings.tenants}
+        self.idle_top = min(settings.conn_idle_us, IDLE_LEAST_US if settings.balancers > FEW else FORGET_US)
+
     def handle(self, now: int, events: Iterable[i.Event]) -> list[i.Action]:
         """Absorb the events of one round, then decide once."""
         self.now, self.actions, self.round_calls, self.shortest = now, [], {}, {}
@@ -102,6 +107,10 @@
                     self.index()
                 case i.Unbanned(target) if target in self.banned:
                     self.unbanned(target)
+                case i.Retuned(new):
+                    self.tune(new)
+                    self.idle_us = min(self.idle_us, self.idle_top)
+                    self.looks.update(self.held.piles)
                 case i.EndRecalled():
                     self.lines.setdefault(event.key, Line()).ending[event.message] = 0
                 case i.Confirmed() if event.key in self.lines:
@@ -143,6 +152,8 @@
                 place = self.places.setdefault(whose, Place(e.destination, 1.0, share=1.0 / self.s.balancers))
                 known = self.targets[e.target] = Target(
                     e.target, e.destination, e.zone, e.weight, place, kind.batch, kind.routes_apart)
+            if e.kind in self.kinds:
+                known.batch = self.kinds[e.kind].batch
             known.zone, known.weight, known.serving = e.zone, e.weight, e.state is i.TargetState.SERVING
         if len(self.targets) > MOST_TARGETS:  # replaced targets must not pile up over months
             gone = [t.id for t in self.targets.values() if not t.serving and not t.out]
@@ -171,7 +182,11 @@
         cls = self.classes.get(event.class_name)
         if cls is None:
             self.actions.append(i.Fail(event.message))
-            return
+        else:
+            self.take(event, cls)
+
+    def take(self, event: i.Arrived | i.Recalled, cls: i.MessageClass) -> Message:
+        """Hold a message, in its key's line if its class has one."""
         self.taken += 1
         key = event.key if cls.in_order else None
         m = Message(event.message, event.destination, cls, event.due_us, self.now, self.taken, key,
@@ -181,16 +196,14 @@
         self.looks.add(m.destination)
         if key is not None:
             self.lines.setdefault(key, Line()).queue.append(m)
+        return m
 
     def recalled(self, event: i.Recalled) -> None:
         """Go on with a message of before a restart: what it may do depends on what it did till then."""
-        self.arrived(i.Arrived(event.message, event.destination, event.class_name, event.due_us, event.key,
-                               event.tenant))
-        m = self.messages.get(event.message)
-        if m is not None:
-            m.attempts, m.ran_at, m.ran_on = event.attempts, event.ran_at_us, event.ran_on
-            if m.key is not None and event.cut_off:
-                self.lines[m.key].rest_until = self.now + self.s.key_rest_us
+        m = self.take(event, event.cls)
+        m.attempts, m.ran_at, m.ran_on = event.attempts, event.ran_at_us, event.ran_on
+        if m.key is not None and event.cut_off:
+            self.lines[m.key].rest_until = self.now + self.s.key_rest_us
 
     def over_share(self, name: str | None) -> bool:
         """Whether a tenant has spent our part of its share; what goes beyond is worth little."""
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -191,7 +191,8 @@
 
     message: str
     destination: int
-    class_name: str
+    cls: MessageClass
+    """The class that it was taken on with, whatever the settings say now."""
     due_us: int
     key: str | None = None
     tenant: str | None = None
@@ -213,6 +214,13 @@
     back_us: int = -1
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """New settings hold from now on; the list follows. Messages under way keep their class."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Banned:
     """Operators leave a target out: it gets nothing new, whatever the list says."""
@@ -284,8 +292,8 @@
     report: LoadReport | None = None
 
 
-Event = (Listed | Arrived | Recalled | OutageRecalled | Banned | Unbanned | EndRecalled | Ended | Confirmed
-         | Withdrawn | TimerDue | Probed)
+Event = (Listed | Arrived | Recalled | OutageRecalled | Banned | Unbanned | EndRecalled | Retuned | Ended
+         | Confirmed | Withdrawn | TimerDue | Probed)
 
 
 # Actions
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -137,9 +137,8 @@
 
     def __init__(self, clock: Callable[[], int], sink: Sink, fields: tuple[str, ...], idle_us: int,
                  dial_us: int, most: int) -> None:
-        self.clock, self.sink, self.fields, self.most = clock, sink, fields, most
-        self.idle_us = max(0, (idle_us or 60 * SECOND) - IDLE_MARGIN_US)
-        self.dial_us = dial_us or SECOND
+        self.clock, self.sink, self.most = clock, sink, most
+        self.tune(fields, idle_us, dial_us)
         self.idle: dict[int, list[Connection]] = {}
         self.all: set[Connection] = set()
         self.dials: set[asyncio.Task[None]] = set()
@@ -149,6 +148,11 @@
         self.out = 0
         self.calls: dict[tuple[str, int], Call] = {}
 
+    def tune(self, fields: tuple[str, ...], idle_us: int, dial_us: int) -> None:
+        self.fields = fields
+        self.idle_us = max(0, (idle_us or 60 * SECOND) - IDLE_MARGIN_US)
+        self.dial_us = dial_us or SECOND
+
     def serving(self, where: dict[int, Address]) -> None:
         """The list changed: what is not in it any more gets no new call, and keeps no idle connection."""
         for target, old in self.where.items():
--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -67,6 +67,8 @@
     known: HostList
     settings: i.Settings
     report_fields: tuple[str, ...]
+    told: dict[str, Any]
+    """The file as it was read."""
 
 
 def address(text: Any) -> Address:
@@ -91,9 +93,28 @@
                     tuple(host(raw) for raw in need(told, "hosts", list)))
 
 
-def load(environ: Mapping[str, str] = os.environ, again: bool = False) -> Config:
-    """The configuration; the environment's names go before those in the file. When it is read again, the
-    address of discovery is the file's: the environment cannot have followed a change."""
+def check_whole(had: Any, told: Any, path: str) -> None:
+    """A file that is read again must hold every key that the one before it held, with a value of its kind. In
+    a list, each entry must have what all entries before had."""
+    for kind in (bool, (int, float), str, dict, list):
+        if isinstance(had, kind):
+            if not isinstance(told, kind) or isinstance(told, bool) and kind is not bool:
+                raise Malformed(f"{path} is {told!r:.40}, where it was {had!r:.40}")
+            break
+    if isinstance(had, dict):
+        for key in had:
+            if key not in told:
+                raise Malformed(f"{path} has no {key!r}")
+            check_whole(had[key], told[key], f"{path}.{key}")
+    elif isinstance(had, list) and had and all(isinstance(entry, dict) for entry in had):
+        common = {key: value for key, value in had[0].items() if all(key in entry for entry in had)}
+        for n, entry in enumerate(told):
+            check_whole(common, entry, f"{path}[{n}]")
+
+
+def load(environ: Mapping[str, str] = os.environ, before: Config | None = None) -> Config:
+    """The configuration; the environment's names go before those in the file. When it is read again, it must
+    be whole, and the address of discovery is the file's: the environment cannot have followed a change."""
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
@@ -102,6 +123,10 @@
     except (OSError, ValueError) as error:
         raise ConfigError(f"cannot read {path}: {error}") from None
     try:
+        if before is not None:
+            check_whole(before.told, told, "the file")
+            if not told["settings"]["services"]:
+                raise Malformed("settings.services is empty")
         limits = told.get("limits") or {}
         facts = need(told, "settings", dict)
         state = environ.get("LB_STATE")
@@ -111,7 +136,7 @@
         return Config(
             name=environ.get("LB_NAME") or need(told, "name", str),
             listen=address(environ.get("LB_LISTEN") or need(told, "listen", str)),
-            discovery=address(not again and environ.get("LB_DISCOVERY") or need(told, "discovery", str)),
+            discovery=address(before is None and environ.get("LB_DISCOVERY") or need(told, "discovery", str)),
             control=None if control is None else address(control),
             state=Path(state),
             seed=zlib.crc32(str(told.get("seed", "")).encode()),
@@ -121,6 +146,7 @@
             known=host_list(told.get("known") or {"seq": 0, "whole": True, "hosts": []}),
             settings=settings(facts),
             report_fields=tuple((facts.get("telemetry") or {}).get("fields") or ()),
+            told=told,
         )
     except (Malformed, ValueError, TypeError, AttributeError) as error:
         text = " ".join(str(error).split())
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -47,24 +47,27 @@
         return (self.base + time.monotonic_ns()) // 1000
 
 
+def on_sockets(settings: i.Settings) -> i.Settings:
+    """On sockets an end is known when its notice is answered, and the list always has to be asked for,
+    whatever the settings say of the simulator's discovery."""
+    return replace(settings, ends_confirmed=True, subscribe=True)
+
+
 class Engine:
     def __init__(self, config: Config) -> None:
         self.config, self.clock = config, Clock()
-        # On sockets an end is known when its notice is answered, and the list always has to be asked for,
-        # whatever the settings say of the simulator's discovery.
-        s = replace(config.settings, ends_confirmed=True, subscribe=True)
-        self.store = Store(config.state, config.disk_bytes)
+        s = on_sockets(config.settings)
+        self.store = Store(config.state, config.disk_bytes, {c.name: c for c in s.classes})
         self.dispatcher = Dispatcher(s, config.seed, self.clock())
         # A share of the descriptors for each side; the rest is for files, discovery and the listener.
         self.server = Server(s, self.clock, max(8, config.sockets // 2), self.hand_in)
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us,
                          max(8, config.sockets // 3))
+        self.kinds = {k.name: k for k in s.kinds}
         self.notices = Notices(config.discovery, self)
         self.drain = Drain(self.server)
         self.control = Control({"HEALTH": alone(self.health), "LEAVE": alone(self.leave),
                                 "JOIN": alone(self.join), "OFFLINE": self.offline, "ONLINE": self.online})
-        self.batches = {k.name: k.batch for k in s.kinds}
-        self.apart = {k.name for k in s.kinds if k.routes_apart}
         self.hosts: dict[str, Host] = {}
         self.numbers: dict[str, int] = {}
         self.names: dict[int, str] = {}
@@ -100,7 +103,7 @@
             for number in list(m.out):
                 kept.outcome(m, number, True)  # its outcome is not known: it may have run
             self.events.append(i.Recalled(
-                m.id, m.destination, m.class_name, m.due_us, m.key, m.tenant, m.attempts, m.ran_at_us,
+                m.id, m.destination, m.cls, m.due_us, m.key, m.tenant, m.attempts, m.ran_at_us,
                 self.number(m.ran_on) if m.ran_on else -1, cut_off))
         self.events += [i.EndRecalled(name, owed.key) for name, owed in kept.owed.items()
                         if owed.key is not None]
@@ -125,17 +128,31 @@
 
     def reload(self) -> None:
         """SIGHUP: read the configuration again. What can change under a running forwarder is where discovery
-        is; a file that cannot be read changes nothing."""
+        is, and the settings; a file that is not whole or cannot hold changes nothing."""
+        before = self.config
         try:
-            told = load(again=True)
+            told = load(before=before)
         except ConfigError as error:
             log.error("the configuration is left as it was: %s", error)
             return
-        log.info("the configuration was read again: discovery at %s:%d", *astuple(told.discovery))
-        if told.discovery != self.config.discovery:
-            self.config = replace(self.config, discovery=told.discovery)
+        self.config = replace(before, discovery=told.discovery, settings=told.settings,
+                              report_fields=told.report_fields, told=told.told)
+        log.info("the configuration was read again: discovery at %s:%d, classes %s, %d attempts",
+                 *astuple(told.discovery), ", ".join(c.name for c in told.settings.classes),
+                 told.settings.max_attempts)
+        if told.discovery != before.discovery:
             self.watch.move(told.discovery)
             self.notices.move(told.discovery)
+        if told.settings != before.settings and not self.frozen:
+            self.round()  # what came under the old settings is taken on under them
+            self.retune(on_sockets(told.settings))
+
+    def retune(self, s: i.Settings) -> None:
+        self.server.settings, self.kinds = s, {k.name: k for k in s.kinds}
+        self.pool.tune(self.config.report_fields, s.conn_idle_us, s.dial_timeout_us)
+        entries = tuple(h.entry(self.number(h.name)) for h in self.hosts.values())
+        self.events += [i.Retuned(s), i.Listed(i.ListKind.WHOLE, entries)]
+        self.round()
 
     def tick(self, due: float) -> None:
         """Watch the loop, and that no message is past its time without an end: that would break a promise."""
@@ -207,7 +224,7 @@
             return
         self.arriving[handed.id] = (handed, door)
         door.left = lambda: self.withdrawn(handed.id)
-        self.post(i.Arrived(handed.id, handed.destination, handed.class_name, handed.due_us, handed.key,
+        self.post(i.Arrived(handed.id, handed.destination, handed.cls.name, handed.due_us, handed.key,
                             handed.tenant, handed.resent))
 
     def withdrawn(self, name: str) -> None:
@@ -288,8 +305,8 @@
             if isinstance(a, i.Refuse | i.Fail) and a.message in arriving:
                 self.turn_away(*arriving.pop(a.message), a)
         for handed, _ in arriving.values():
-            self.store.take(Taken(handed.id, handed.class_name, handed.destination, handed.due_us,
-                                  handed.key, handed.tenant, handed.body))
+            self.store.take(Taken(handed.id, handed.cls, handed.destination, handed.due_us, handed.key,
+                                  handed.tenant, handed.body))
         calls: list[i.CloseIdle | Call | i.Cancel] = []
         forming: dict[int, Call] = {}
         for a in actions:
@@ -353,10 +370,9 @@
         self.store.attempt(m, number, now, name)
         item = Item(m.id, number, m.key, m.body, min(now + a.timeout_us, m.due_us), m.due_us)
         call = forming.get(a.target)
-        most = self.batches.get(str(target.raw.get("class")), 1)
-        if call is None or len(call.items) >= most or not fits(call.items, item):
-            apart = str(target.raw.get("class")) in self.apart
-            place = (m.destination, a.target if apart else -1)
+        kind = self.kinds.get(str(target.raw.get("class")), i.DestinationKind(""))
+        if call is None or len(call.items) >= kind.batch or not fits(call.items, item):
+            place = (m.destination, a.target if kind.routes_apart else -1)
             call = forming[a.target] = Call(a.target, place, now, [])
             calls.append(call)
         call.items.append(item)
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -68,7 +68,7 @@
     """A message as a client handed it in, well-formed but not yet taken on."""
 
     id: str
-    class_name: str
+    cls: i.MessageClass
     destination: int
     due_us: int
     key: str | None
@@ -108,7 +108,7 @@
     tenant = h.get("x-account")
     if settings.tenants and tenant not in {t.name for t in settings.tenants}:
         raise BadRequest(bad, "X-Account is missing or unknown")
-    return Handed(ident, cls.name, int(dest), request.came_us + int(left * 1_000_000), key, tenant,
+    return Handed(ident, cls, int(dest), request.came_us + int(left * 1_000_000), key, tenant,
                   h.get("x-repeat") == "1", bytes(request.body))
 
 
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -2,7 +2,8 @@
 
 Records are a length, a checksum and a payload: a line of JSON and, for a taken message, its body. A plain
 write is enough, since the files outlast the process without a sync. Kinds, by the first item of the line:
-  taken [id, class, destination, due, key, tenant, attempts, ran_at, ran_on, [[number, at, host]...]] + body
+  taken [id, class, destination, due, key, tenant, attempts, ran_at, ran_on, [[number, at, host]...]] + body,
+        the class as a list of its fields
   attempt [id, number, at, host], before the call's first byte; outcome [id, number, may have run]
   over [id]; ended [ids], those that were over when the file was written anew
   owed [id, state, after_ms, key], an end that the platform has not acknowledged; told [id]
@@ -19,14 +20,17 @@
 import os
 import struct
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from lemonshunt.interface import Effect, MessageClass, Scope
+
 HEAD = struct.Struct("<II")
 MOST_RECORD = 1 << 21
 BLOCK = 512
+SECOND = 1_000_000
 ROOM = 128 * 1024  # kept free for the small records that follow a message that was taken on
 LEAST_COMPACT = 256 * 1024  # below this size the file is left to grow
 OUTAGE_KEPT_US = 3_600_000_000
@@ -41,7 +45,7 @@
     """A message that was taken on, with all that is needed to go on with it."""
 
     id: str
-    class_name: str
+    cls: MessageClass
     destination: int
     due_us: int
     key: str | None
@@ -68,7 +72,9 @@
 class Store:
     """Appends are gathered; `flush` writes them, before anything that they precede leaves."""
 
-    def __init__(self, folder: Path, most_bytes: int) -> None:
+    def __init__(self, folder: Path, most_bytes: int,
+                 classes: Mapping[str, MessageClass] | None = None) -> None:
+        self.classes = classes or {}  # for journals that tell a class by its name only
         self.path, self.spare = folder / "journal", folder / "journal.new"
         self.most = most_bytes - 2 * BLOCK
         self.messages: dict[str, Taken] = {}
@@ -117,11 +123,18 @@
 
     def _taken(self, rest: list[Any], body: bytes) -> None:
         name, cls, destination, due, key, tenant, attempts, ran_at, ran_on, out = rest
-        m = Taken(name, cls, destination, due, key, tenant, body, attempts, ran_at, ran_on,
+        m = Taken(name, self._class(cls), destination, due, key, tenant, body, attempts, ran_at, ran_on,
                   {n: (at, host) for n, at, host in out})
         self.messages[m.id] = m
         self.live += m.size
 
+    def _class(self, told: Any) -> MessageClass:
+        """The class of a message that was taken on. One of which nothing is known may not be repeated."""
+        if isinstance(told, str):
+            return self.classes.get(told) or MessageClass(told, SECOND, SECOND, Effect.ONCE)
+        name, aim, deadline, effect, scope, *others = told
+        return MessageClass(name, aim, deadline, Effect(effect), Scope(scope), *others)
+
     def _attempt(self, rest: list[Any], body: bytes) -> None:
         name, number, at, host = rest
         if name in self.messages:
@@ -252,7 +265,10 @@
 
     def _message(self, m: Taken) -> bytes:
         out = [[n, at, host] for n, (at, host) in m.out.items()]
-        return _record(("taken", m.id, m.class_name, m.destination, m.due_us, m.key, m.tenant,
+        c = m.cls
+        cls = [c.name, c.aim_us, c.deadline_us, c.effect.value, c.scope.value, c.window_us, c.in_order,
+               c.worth, c.late_worth]
+        return _record(("taken", m.id, cls, m.destination, m.due_us, m.key, m.tenant,
                         m.attempts, m.ran_at_us, m.ran_on, out), m.body)
 
     def knows(self, name: str) -> bool:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -204,12 +204,14 @@
 
 def test_recalled_message_keeps_what_it_did_before_the_restart() -> None:
     d = started(ONE)
-    told = d.handle(MS, [i.Recalled("once", 10, "once", 8 * S, attempts=1, ran_at_us=0, ran_on=1)])
+    told = d.handle(MS, [i.Recalled("once", 10, CLASS["once"], 8 * S, attempts=1, ran_at_us=0, ran_on=1)])
     assert not sends(told) and finals(told) == [i.Fail("once")]
-    send = sends(d.handle(S, [i.Recalled("k", 10, "keyed", 8 * S, attempts=2, ran_at_us=0, ran_on=1)]))[0]
+    told = d.handle(S, [i.Recalled("k", 10, CLASS["keyed"], 8 * S, attempts=2, ran_at_us=0, ran_on=1)])
+    send = sends(told)[0]
     told = d.handle(3 * S, [end(send, FAILED, attempt=2)])  # its key is remembered for 3 s from the first
     assert not sends(told) and [a.message for a in finals(told)] == ["k"]
-    told = d.handle(8 * S, [i.Recalled("z", 10, "zoned", 9 * S, attempts=1, ran_at_us=7 * S, ran_on=99)])
+    cls = CLASS["zoned"]
+    told = d.handle(8 * S, [i.Recalled("z", 10, cls, 9 * S, attempts=1, ran_at_us=7 * S, ran_on=99)])
     assert not sends(told)  # its first target is gone, and only that one's zone knows the key
 
 
@@ -234,13 +236,35 @@
 
 def test_key_rests_after_a_restart_cut_off_its_attempt() -> None:
     d = started(ONE)
-    told = d.handle(0, [i.Recalled("a", 10, "turns", 8 * S, "k", None, 6, 0, 1, True),
+    told = d.handle(0, [i.Recalled("a", 10, CLASS["turns"], 8 * S, "k", None, 6, 0, 1, True),
                         ask("b", cls="turns", due=8 * S, key="k")])
     assert [a.message for a in finals(told)] == ["a"] and not sends(told)
     got = [t for t, a in sweep(d, 20 * MS, 2 * S) if isinstance(a, i.Send)]
     assert got and got[0] >= 300 * MS
 
 
+def test_a_message_keeps_its_class_when_the_settings_change() -> None:
+    d = started(ONE, max_attempts=6)
+    send = sends(d.handle(0, [ask("old", cls="once", due=8 * S)]))[0]
+    fresh = settings(max_attempts=2, classes=(
+        i.MessageClass("once", 2 * S, 8 * S), i.MessageClass("new", 2 * S, 8 * S, i.Effect.ONCE)))
+    told = d.handle(MS, [i.Retuned(fresh), i.Listed(i.ListKind.WHOLE, ONE), ask("gone", cls="safe"),
+                         ask("new", cls="new", due=8 * S), end(send, i.Outcome.UNREADABLE)])
+    assert sorted(a.message for a in finals(told)) == ["gone", "old"]
+    assert all(isinstance(a, i.Fail) for a in finals(told))
+    send = sends(told)[0]
+    assert send.message == "new"
+    assert finals(d.handle(2 * MS, [end(send, i.Outcome.UNREADABLE)])) == [i.Fail("new")]
+
+
+def test_fewer_attempts_bind_what_is_held_already() -> None:
+    d = started(ONE, max_attempts=6)
+    send = sends(d.handle(0, [ask("m")]))[0]
+    d.handle(MS, [i.Retuned(settings(max_attempts=1)), i.Listed(i.ListKind.WHOLE, ONE)])
+    told = d.handle(2 * MS, [end(send, FAILED)])
+    assert [a.message for a in finals(told)] == ["m"] and not sends(told)
+
+
 def test_outage_is_told_to_be_remembered_and_binds_when_recalled() -> None:
     d = started(ONE, weights_told=True)
     now, told = 0, []
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,9 +18,11 @@
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, SETTINGS, Answer, Peer, Request, always, hang, message
 
+ORDER = settings(SETTINGS).classes[0]
+
 
 def taken(name: str, size: int = 100) -> Taken:
-    return Taken(name, "order", 7, 10**15, f"k-{name}", "acme", b"\n\0" * (size // 2))
+    return Taken(name, ORDER, 7, 10**15, f"k-{name}", "acme", b"\n\0" * (size // 2))
 
 
 def test_store_gives_back_what_it_was_told_also_after_compacting(tmp_path: Path) -> None:
