--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -7,17 +7,43 @@
 import logging
 import signal
 import sys
+from dataclasses import astuple
 
 from lemonshunt.net.config import Config, ConfigError, load
+from lemonshunt.net.control import Control
 from lemonshunt.net.engine import Engine
+from lemonshunt.net.listen import bind
+from lemonshunt.net.upgrade import Heritage, Ownership
+
+log = logging.getLogger("lemonshunt")
 
 
 async def serve(config: Config) -> None:
-    engine = Engine(config)
     loop = asyncio.get_running_loop()
+    hups: list[int] = []  # those that came before there was anything to tell of them
+    loop.add_signal_handler(signal.SIGHUP, hups.append, signal.SIGHUP)
+    control, ownership = Control(), Ownership(config.state)
+    if config.control is not None:
+        try:
+            control.listen(await bind(config.control, patience_s=0))
+        except OSError as error:  # the process before may have it, and hand it over
+            log.info("control address not free yet: %s", error)
+
+    async def make(heritage: Heritage | None) -> Engine:
+        if heritage is None:
+            # The address before the journal: where another forwarder serves, nothing may be sent.
+            return Engine(config, ownership, control, await bind(config.listen))
+        clients = heritage.socket(heritage.told["clients"])
+        if clients.getsockname()[:2] != astuple(config.listen):
+            clients = await bind(config.listen)
+        return Engine(config, ownership, control, clients, heritage)
+
+    engine = await ownership.obtain(make)
     loop.add_signal_handler(signal.SIGTERM, engine.stop)
     loop.add_signal_handler(signal.SIGINT, engine.stop)
     loop.add_signal_handler(signal.SIGHUP, engine.reload)
+    if hups:
+        loop.call_soon(engine.reload)
     gc.freeze()  # what is made at the start stays: it need not be looked through again and again
     await engine.run()
 
--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -12,7 +12,20 @@
 
 from lemonshunt import interface as i
 from lemonshunt.interface import Outcome
-from lemonshunt.state import Agenda, Attempt, Call, Held, Line, Message, Place, Target
+from lemonshunt.state import (
+    PLACE_KEPT,
+    TARGET_KEPT,
+    Agenda,
+    Attempt,
+    Call,
+    Held,
+    Line,
+    Message,
+    Place,
+    Target,
+    kept,
+    restore,
+)
 
 SECOND = 1_000_000  # us
 GROUP_RANGE = 0.4  # Gr, share of the least time left: the paper's value; larger was no better
@@ -107,6 +120,8 @@
                     self.index()
                 case i.Unbanned(target) if target in self.banned:
                     self.unbanned(target)
+                case i.Inherited(memory):
+                    self.inherit(memory)
                 case i.Retuned(new):
                     self.tune(new)
                     self.idle_us = min(self.idle_us, self.idle_top)
@@ -134,6 +149,47 @@
             self.actions.append(i.SetTimer(max(1, self.armed - now), "look"))
         return self.actions
 
+    def memory(self) -> i.Memory:
+        """What was learned and is out, for the process that takes over."""
+        calls: dict[int, list[tuple[str, int]]] = {}
+        of = {id(a.call): a.call for a in self.attempts.values()}
+        for attempt, a in self.attempts.items():
+            calls.setdefault(id(a.call), []).append(attempt)
+        return i.Memory(
+            tuple((*whose, kept(place, PLACE_KEPT)) for whose, place in self.places.items()),
+            tuple((t.id, kept(t, TARGET_KEPT)) for t in self.targets.values()),
+            {key: line.rest_until for key, line in self.lines.items() if line.rest_until > self.now},
+            dict(self.purses), self.idle_us,
+            tuple(i.CallOut(c.target.id, c.sent_at, c.idle, c.gap, c.judged, tuple(calls[n]))
+                  for n, c in of.items()))
+
+    def inherit(self, memory: i.Memory) -> None:
+        """Go on with the memory of the process before: its calls still hold their slots and their keys."""
+        for destination, which, row in memory.places:
+            if (destination, which) in self.places:
+                restore(self.places[(destination, which)], PLACE_KEPT, row)
+        for number, row in memory.targets:
+            if number in self.targets:
+                restore(self.targets[number], TARGET_KEPT, row)
+        for key, until in memory.rests.items():
+            line = self.lines.setdefault(key, Line())
+            line.rest_until = max(line.rest_until, until)
+        self.purses, self.idle_us = dict(memory.purses), min(memory.idle_us, self.idle_top)
+        for out in memory.calls:
+            t = self.targets.get(out.target)
+            attempts = [(name, number) for name, number in out.attempts if name in self.messages]
+            if t is None or not attempts:
+                continue
+            call = Call(t, out.sent_us, out.idle_us, out.gap_us, len(attempts), len(attempts), out.judged)
+            self.calls_out, t.out, t.place.out = self.calls_out + 1, t.out + 1, t.place.out + 1
+            for name, number in attempts:
+                m = self.messages[name]
+                self.attempts[(name, number)] = Attempt(m, call)
+                m.attempts, m.out = max(m.attempts, number + 1), m.out + 1
+                self.held.remove(m)
+                if m.key is not None:
+                    self.lines[m.key].out += 1
+
     def listed(self, event: i.Listed) -> None:
         """Follow the list. A drained or gone target gets nothing new from this round on."""
         if event.kind is i.ListKind.FAILED:
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -214,6 +214,43 @@
     back_us: int = -1
 
 
+Row = Mapping[str, float]
+"""Fields of a record by name. A name that the reader does not know is passed over."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallOut:
+    """A call that is out, with the messages and attempts whose outcome is still owed."""
+
+    target: int
+    sent_us: int
+    idle_us: int
+    gap_us: int
+    judged: bool
+    attempts: tuple[tuple[str, int], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """What a dispatcher has learned and has out, for the one in the process that takes over."""
+
+    places: tuple[tuple[int, int, Row], ...] = ()
+    """Each by its destination and, where routes are apart, its target (else -1)."""
+    targets: tuple[tuple[int, Row], ...] = ()
+    rests: Mapping[str, int] = field(default_factory=dict)
+    """Until when keys rest."""
+    purses: Mapping[str, int] = field(default_factory=dict)
+    idle_us: int = 0
+    calls: tuple[CallOut, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Inherited:
+    """The memory of the process before, which is still true. It comes after the list and the messages."""
+
+    memory: Memory
+
+
 @dataclass(frozen=True, slots=True)
 class Retuned:
     """New settings hold from now on; the list follows. Messages under way keep their class."""
@@ -292,8 +329,8 @@
     report: LoadReport | None = None
 
 
-Event = (Listed | Arrived | Recalled | OutageRecalled | Banned | Unbanned | EndRecalled | Retuned | Ended
-         | Confirmed | Withdrawn | TimerDue | Probed)
+Event = (Listed | Arrived | Recalled | OutageRecalled | Banned | Unbanned | EndRecalled | Inherited | Retuned
+         | Ended | Confirmed | Withdrawn | TimerDue | Probed)
 
 
 # Actions
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -10,8 +10,10 @@
 import base64
 import json
 import logging
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from lemonshunt import interface as i
 from lemonshunt.interface import Outcome
@@ -70,9 +72,10 @@
 class Connection(asyncio.Protocol):
     """A connection to a target, with at most one call on it."""
 
-    def __init__(self, pool: Pool) -> None:
+    def __init__(self, pool: Pool, call: Call | None = None, seen: bytes = b"") -> None:
         self.pool, self.idle_us = pool, 0
-        self.call: Call | None = None
+        self.call = call
+        self.seen = bytearray(seen)  # of the answer that is being read
         self.transport: asyncio.Transport | None = None
         self.reader = ResponseReader()
 
@@ -80,6 +83,10 @@
         assert isinstance(transport, asyncio.Transport)
         transport.set_write_buffer_limits(0)  # so that resume_writing tells that the last byte is out
         self.transport = transport
+        if self.call is not None:  # another process wrote it
+            self.call.connection = self
+            if self.seen:
+                self.read(bytes(self.seen))
 
     def resume_writing(self) -> None:
         if self.call is not None:
@@ -92,6 +99,7 @@
         """Write a call. False where the connection was dead already: not a byte of the call has left then."""
         assert self.transport is not None
         self.reader.renew()
+        self.seen.clear()
         self.transport.write(data)
         if self.transport.is_closing():
             return False
@@ -104,6 +112,10 @@
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        self.seen += data
+        self.read(data)
+
+    def read(self, data: bytes) -> None:
         call = self.call
         if call is None:  # nothing was asked: not to be trusted any more
             self.close()
@@ -348,6 +360,55 @@
         except (ValueError, KeyError):
             return None
 
+    # Upgrades
+
+    def hand_over(self) -> tuple[dict[str, Any], list[Connection]]:
+        """What is out and what is idle, for the process that takes over, and the connections to go with it.
+        A call whose last byte is not written yet is not among the connections: it will never run."""
+        going: list[Connection] = []
+        calls, idle = [], []
+        for call in {id(call): call for call in self.calls.values()}.values():
+            number = -1
+            if call.connection is not None and call.written and not call.connection.closing():
+                number = len(going)
+                going.append(call.connection)
+            calls.append({
+                "connection": number, "target": call.target, "place": call.place, "sent_us": call.sent_us,
+                "batched": call.batched, "items": [[x.id, x.attempt, x.until_us] for x in call.open.values()],
+                "seen": base64.b64encode(call.connection.seen if call.connection else b"").decode()})
+        for target, held in self.idle.items():
+            for connection in held:
+                if not connection.closing():
+                    idle.append({"connection": len(going), "target": target, "idle_us": connection.idle_us})
+                    going.append(connection)
+        return {"calls": calls, "idle": idle, "waits": [[*w, end] for w, end in self.waits.items()]}, going
+
+    async def adopt(self, call: Call, sock: socket.socket | None, seen: bytes) -> None:
+        """Go on waiting for the answer to a call of the process before; without a connection it never ran."""
+        self.out += 1
+        for item in call.items:
+            call.open[item.id] = item
+            self.calls[(item.id, item.attempt)] = call
+        if sock is None:
+            self.finish(call, Result(Outcome.NOT_SENT))
+            return
+        call.written = True
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(lambda: Connection(self, call, seen), sock=sock)
+        if not connection.closing():
+            self.all.add(connection)
+        self.arm(call)
+
+    async def adopt_idle(self, target: int, sock: socket.socket, idle_us: int) -> None:
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(lambda: Connection(self), sock=sock)
+        if not connection.closing():
+            self.all.add(connection)
+            self.keep(connection, target)
+            connection.idle_us = idle_us
+
     # Idle connections
 
     def keep(self, connection: Connection, target: int) -> None:
--- a/lemonshunt/net/control.py
+++ b/lemonshunt/net/control.py
@@ -11,6 +11,9 @@
 import socket
 from collections.abc import Callable, Mapping
 
+from lemonshunt.net.config import Address
+from lemonshunt.net.listen import Listener
+
 MOST_LINE = 256
 MOST_CALLERS = 32
 PATIENCE_S = 0.5  # a caller that has sent no whole line by then is told so
@@ -39,10 +42,9 @@
 class Caller(asyncio.Protocol):
     """One connection, for one call."""
 
-    def __init__(self, control: Control) -> None:
-        self.control = control
+    def __init__(self, control: Control, line: bytes = b"") -> None:
+        self.control, self.line = control, line
         self.transport: asyncio.Transport | None = None
-        self.line = b""
         self.answered = False
         self.timer: asyncio.TimerHandle | None = None
 
@@ -90,16 +92,22 @@
 
 
 class Control:
-    """Listens for operators."""
+    """Listens for operators. Before the process can serve, `calls` is None and every call fails."""
 
-    def __init__(self, calls: Calls) -> None:
-        self.calls = calls
+    def __init__(self) -> None:
+        self.calls: Calls | None = None
         self.callers: dict[Caller, None] = {}  # the oldest first
-        self.listener: asyncio.Server | None = None
+        self.listeners: dict[Address, Listener] = {}  # our own, and for a time that of the process before
+
+    def listen(self, sock: socket.socket) -> Listener:
+        listener = Listener(sock, BACKLOG, lambda: Caller(self))
+        self.listeners[listener.where()] = listener
+        return listener
 
-    async def listen(self, sock: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(lambda: Caller(self), sock=sock, backlog=BACKLOG)
+    async def adopt(self, sock: socket.socket, line: bytes) -> None:
+        """Go on with a caller of the process before."""
+        sock.setblocking(False)
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: Caller(self, line), sock)
 
     def joined(self, caller: Caller) -> None:
         self.callers[caller] = None
@@ -113,6 +121,8 @@
         """Carry out one line. Returns the answer."""
         try:
             word, _, rest = line.decode("ascii").strip().partition(" ")
+            if self.calls is None:
+                raise Refused("not serving yet")
             if word not in self.calls:
                 raise Refused("no such call")
             return f"ok {self.calls[word](rest.strip())}".rstrip()
@@ -123,11 +133,12 @@
         except Exception:
             log.exception("a call failed")
             text = "fail internal fault"
-        log.warning("called %r: %s", line, text)
+        if self.calls is not None:
+            log.warning("called %r: %s", line, text)
         return text
 
     def close(self) -> None:
-        if self.listener is not None:
-            self.listener.close()
+        for listener in self.listeners.values():
+            listener.close()
         for caller in list(self.callers):
             caller.close()
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -7,20 +7,25 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import logging
+import os
+import socket
 import time
-from dataclasses import astuple, replace
+from dataclasses import asdict, astuple, replace
 from http import HTTPStatus
 
 from lemonshunt import interface as i
 from lemonshunt.choice import Dispatcher
 from lemonshunt.net.client import Call, Item, Pool, fits
 from lemonshunt.net.config import Config, ConfigError, Host, HostList, host, load
-from lemonshunt.net.control import Control, Refused, alone
+from lemonshunt.net.control import Calls, Control, Refused, alone
 from lemonshunt.net.discovery import Notices, Watch
 from lemonshunt.net.drain import LATE_S, Drain
-from lemonshunt.net.server import Door, Handed, Server, bind
+from lemonshunt.net.listen import bind, fileno
+from lemonshunt.net.server import Door, Handed, Server
 from lemonshunt.net.store import Owed, Store, Taken
+from lemonshunt.net.upgrade import Heritage, Ownership, memory
 
 ROUND_US = 5_000  # least time between rounds: what goes to one target in one round travels together
 FREEZE_S = 2.8  # so long after SIGTERM nothing new is sent, and what is out is waited for
@@ -30,6 +35,8 @@
 LAG_S = 0.1  # the loop stood still for so long: worth a line
 LAG_LOG_S = 10.0
 TICK_S = 0.1
+SPARE_SOCKETS = 40  # descriptors of two processes that are no connections
+OLD_CONTROL_S = 10.0  # after an upgrade calls are answered at the old control address too
 STATE_LOG_S = 5.0  # between two lines that tell how the forwarder stands
 MOST_TARGETS = 2000  # targets remembered at most, those that are gone among them
 OVERDUE_US = 120_000  # past its time by so much, a message without an end is ended by the engine itself
@@ -40,8 +47,8 @@
 class Clock:
     """Microseconds of Unix time, so that the journal's times hold after a restart, but never going back."""
 
-    def __init__(self) -> None:
-        self.base = time.time_ns() - time.monotonic_ns()
+    def __init__(self, base: int | None = None) -> None:
+        self.base = time.time_ns() - time.monotonic_ns() if base is None else base
 
     def __call__(self) -> int:
         return (self.base + time.monotonic_ns()) // 1000
@@ -54,8 +61,12 @@
 
 
 class Engine:
-    def __init__(self, config: Config) -> None:
-        self.config, self.clock = config, Clock()
+    def __init__(self, config: Config, ownership: Ownership, control: Control, clients: socket.socket,
+                 heritage: Heritage | None = None) -> None:
+        """Reads the journal and writes nothing: until it runs, another process may own all of it."""
+        self.config, self.ownership, self.clients, self.heritage = config, ownership, clients, heritage
+        told = heritage.told if heritage is not None else {}
+        self.clock = Clock(told.get("clock"))
         s = on_sockets(config.settings)
         self.store = Store(config.state, config.disk_bytes, {c.name: c for c in s.classes})
         self.dispatcher = Dispatcher(s, config.seed, self.clock())
@@ -66,13 +77,14 @@
         self.kinds = {k.name: k for k in s.kinds}
         self.notices = Notices(config.discovery, self)
         self.drain = Drain(self.server)
-        self.control = Control({"HEALTH": alone(self.health), "LEAVE": alone(self.leave),
-                                "JOIN": alone(self.join), "OFFLINE": self.offline, "ONLINE": self.online})
+        self.control = control
+        self.calls: Calls = {"HEALTH": alone(self.health), "LEAVE": alone(self.leave),
+                             "JOIN": alone(self.join), "OFFLINE": self.offline, "ONLINE": self.online}
         self.hosts: dict[str, Host] = {}
-        self.numbers: dict[str, int] = {}
-        self.names: dict[int, str] = {}
-        self.numbered = 0
-        self.destinations: set[int] = set()
+        self.numbers: dict[str, int] = dict(told.get("numbers", {}))
+        self.names = {number: name for name, number in self.numbers.items()}
+        self.numbered = max(self.names, default=0)
+        self.destinations: set[int] = set(told.get("destinations", ()))
         self.arriving: dict[str, tuple[Handed, Door]] = {}
         self.events: list[i.Event] = []
         self.scheduled = False
@@ -89,6 +101,8 @@
     def recover(self) -> int:
         """Tell the module what the journal holds. Returns the newest version of the list, -1 for none."""
         known, kept = self.config.known, self.store
+        told = self.heritage.told if self.heritage is not None else {"pool": {"calls": []}}
+        out = {(name, number) for call in told["pool"]["calls"] for name, number, _ in call["items"]}
         if kept.seq >= known.seq:  # `known` may be older than what this forwarder was told of drains
             known = HostList(kept.seq, True, tuple(host(raw) for raw in kept.hosts.values()))
         kept.note_names(h.name for h in known.hosts)
@@ -99,30 +113,40 @@
             if name in self.numbers:
                 self.events.append(i.OutageRecalled(self.numbers[name], since, back))
         for m in kept.messages.values():
-            cut_off = bool(m.out)
-            for number in list(m.out):
+            lost = [number for number in m.out if (m.id, number) not in out]
+            for number in lost:
                 kept.outcome(m, number, True)  # its outcome is not known: it may have run
             self.events.append(i.Recalled(
                 m.id, m.destination, m.cls, m.due_us, m.key, m.tenant, m.attempts, m.ran_at_us,
-                self.number(m.ran_on) if m.ran_on else -1, cut_off))
+                self.number(m.ran_on) if m.ran_on else -1, bool(lost)))
         self.events += [i.EndRecalled(name, owed.key) for name, owed in kept.owed.items()
                         if owed.key is not None]
         if kept.messages or kept.owed:
             log.info("took up %d messages and %d owed ends again", len(kept.messages), len(kept.owed))
+        if "memory" in told:
+            self.events.append(i.Inherited(memory(told["memory"])))
         return known.seq if known.hosts else -1
 
     async def run(self) -> None:
+        self.store.own()
+        if self.heritage is not None:
+            await self.adopt_calls(self.heritage)
         self.round()
         self.notices.kick()
-        await self.server.listen(await bind(self.config.listen))
-        if self.config.control is not None:
-            await self.control.listen(await bind(self.config.control))
+        if self.heritage is not None:
+            await self.adopt_clients(self.heritage)
+        self.server.listen(self.clients)
+        if self.config.control is not None and self.config.control not in self.control.listeners:
+            self.control.listen(await bind(self.config.control))
+        self.control.calls = self.calls
+        self.ownership.listen(self.hand_over)
         log.info("ready")
         self.tick(time.monotonic())
         await self.done.wait()
         self.frozen = self.closed = True
-        await self.server.close()
+        self.server.close()
         self.control.close()
+        self.ownership.close()
         self.pool.close()
         self.store.close()
 
@@ -457,6 +481,86 @@
         self.drain.join()
         return "joined"
 
+    # Upgrades
+
+    def hand_over(self, link: socket.socket) -> None:
+        """Another process takes over. The loop stands still here, so all that arrives waits for its owner."""
+        if self.leaving_s or self.closed:
+            return
+        self.round()
+        if self.arriving or self.events:
+            self.round()  # what the first one brought about
+        fds: list[int] = []
+
+        def put(fd: int) -> int:
+            fds.append(fd)
+            return len(fds) - 1
+
+        pool, connections = self.pool.hand_over()
+        doors = [(door, told) for door in self.server.doors if (told := door.hand_over()) is not None]
+        doors.sort(key=lambda d: (not d[0].idle(), d[0].used_us), reverse=True)
+        # While both have them they count twice: what is idle and too many ends with this process.
+        room = self.config.sockets - len(self.server.doors) - len(self.pool.all) - SPARE_SOCKETS
+        clients = self.server.listener
+        assert clients is not None
+        controls = [listener for where, listener in self.control.listeners.items()
+                    if where == self.config.control]
+        known = {fileno(transport) for transport in (*(d.transport for d in self.server.doors),
+                                                     *(c.transport for c in self.control.callers))}
+        new = [conn.fileno() for conn in clients.coming if conn.fileno() not in known]
+        calling = [conn.fileno() for listener in controls for conn in listener.coming
+                   if conn.fileno() not in known]
+        told = {
+            "clock": self.clock.base, "numbers": self.numbers, "destinations": [*self.destinations],
+            "memory": asdict(self.dispatcher.memory()), "leaving": self.drain.on,
+            "clients": put(clients.sock.fileno()),
+            "controls": [put(listener.sock.fileno()) for listener in controls],
+            "callers": [{"fd": put(fileno(c.transport)), "line": base64.b64encode(c.line).decode()}
+                        for c in self.control.callers if not c.answered]
+                       + [{"fd": put(fd), "line": ""} for fd in calling],
+            "connections": [put(fileno(c.transport)) for c in connections], "pool": pool,
+            "doors": [told | {"fd": put(fileno(door.transport))} for door, told in doors[:max(0, room)]]
+                     + [{"fd": put(fd)} for fd in new],
+        }
+        if not self.ownership.give(link, told, fds):
+            log.warning("the process that was to take over did not; going on")
+            return
+        log.info("handed over: %d messages, %d calls out, %d clients", len(self.store.messages),
+                 self.pool.out, len(doors))
+        os._exit(0)  # not one callback more: it would read what is meant for the other process
+
+    async def adopt_calls(self, heritage: Heritage) -> None:
+        """Go on with the calls and connections to targets of the process before."""
+        pool, numbers = heritage.told["pool"], heritage.told["connections"]
+        self.pool.waits = {(destination, which): end for destination, which, end in pool["waits"]}
+        for c in pool["calls"]:
+            items = [Item(name, number, m.key, m.body, until_us, m.due_us)
+                     for name, number, until_us in c["items"]
+                     if (m := self.store.messages.get(name)) is not None]
+            if not items:
+                continue  # its connection is closed with all that is not taken out
+            sock = heritage.socket(numbers[c["connection"]]) if c["connection"] >= 0 else None
+            destination, which = c["place"]
+            call = Call(c["target"], (destination, which), c["sent_us"], items, batched=c["batched"])
+            await self.pool.adopt(call, sock, base64.b64decode(c["seen"]))
+        for c in pool["idle"]:
+            await self.pool.adopt_idle(c["target"], heritage.socket(numbers[c["connection"]]), c["idle_us"])
+
+    async def adopt_clients(self, heritage: Heritage) -> None:
+        """Go on with the clients and operators of the process before."""
+        told = heritage.told
+        if told["leaving"]:
+            self.drain.leave()
+        for door in told["doors"]:
+            await self.server.adopt(heritage.socket(door.pop("fd")), door)
+        for number in told["controls"]:
+            listener = self.control.listen(heritage.socket(number))
+            if listener.where() != self.config.control:
+                asyncio.get_running_loop().call_later(OLD_CONTROL_S, listener.close)
+        for caller in told["callers"]:
+            await self.control.adopt(heritage.socket(caller["fd"]), base64.b64decode(caller["line"]))
+        heritage.close()
+
     # Stopping
 
     def stop(self) -> None:
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -3,20 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import logging
 import math
 import socket
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import Any
 
 import httptools
 
 from lemonshunt import interface as i
-from lemonshunt.net.config import Address
 from lemonshunt.net.http import MOST_BODY
+from lemonshunt.net.listen import Listener
 
 MOST_HEAD = 16 * 1024
 MOST_WAITING = 8  # requests read ahead on one connection before reading stops
@@ -25,27 +26,9 @@
 SWEEP_S = 0.25
 LINGER_S = 1.0
 BACKLOG = 512
-BIND_S = 5.0
 log = logging.getLogger("lemonshunt.server")
 
 
-async def bind(where: Address) -> socket.socket:
-    """A socket at an address, not listening yet."""
-    family = socket.AF_INET6 if ":" in where.host else socket.AF_INET
-    patience = time.monotonic() + BIND_S
-    while True:
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind((where.host.strip("[]"), where.port))
-            return sock
-        except OSError:  # the process before may still be going
-            sock.close()
-            if time.monotonic() > patience:
-                raise
-        await asyncio.sleep(0.05)
-
-
 class BadRequest(Exception):
     def __init__(self, status: HTTPStatus, text: str) -> None:
         super().__init__(text)
@@ -113,10 +96,13 @@
 
 
 class Door(asyncio.Protocol):
-    """One client's connection. Requests are answered one at a time, in the order they came."""
+    """One client's connection. Requests are answered one at a time, in the order they came. One that another
+    process handed over begins with what had been read of a request."""
 
-    def __init__(self, server: Server) -> None:
-        self.server = server
+    def __init__(self, server: Server, told: dict[str, Any] | None = None) -> None:
+        self.server, self.told = server, told
+        self.raw = bytearray()  # what has been read of the request that is being read
+        self.shared = False  # what was read last held the end of a request too
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.reading: Request | None = None
@@ -131,6 +117,24 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.server.joined(self)
+        if self.told:
+            self.made_us, self.asked = self.told["made_us"], self.told["asked"]
+            if self.told["raw"]:
+                self.data_received(base64.b64decode(self.told["raw"]))
+            if self.reading is not None:
+                self.reading.came_us = self.told["came_us"]
+            self.used_us = self.told["used_us"]
+
+    def hand_over(self) -> dict[str, Any] | None:
+        """What another process needs to go on with this connection; None where it cannot."""
+        assert self.transport is not None
+        mixed = self.reading is not None and not self.raw
+        if (self.busy is not None or self.waiting or self.broken or self.ended or mixed
+                or self.transport.is_closing() or self.transport.get_write_buffer_size()):
+            return None
+        came_us = 0 if self.reading is None else self.reading.came_us
+        return {"made_us": self.made_us, "used_us": self.used_us, "asked": self.asked, "came_us": came_us,
+                "raw": base64.b64encode(self.raw).decode()}
 
     def connection_lost(self, error: Exception | None) -> None:
         self.server.doors.discard(self)
@@ -155,6 +159,7 @@
         self.used_us = self.server.clock()
         if self.broken:
             return
+        fresh, self.shared = self.reading is None, False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -168,6 +173,10 @@
             self.broken = True
             self.waiting.append(Request(self.used_us, keep_alive=False, bad=cause))
             self.reading = None
+        if self.reading is None or self.shared:
+            self.raw.clear()
+        elif fresh or self.raw:
+            self.raw += data
         self.next()
 
     # Called by the parser
@@ -212,7 +221,7 @@
         if self.reading is not None:
             self.reading.method = self.parser.get_method().decode("latin-1")
             self.reading.keep_alive = self.parser.should_keep_alive()
-            self.asked = True
+            self.asked = self.shared = True
             self.waiting.append(self.reading)
             self.reading = None
 
@@ -269,12 +278,16 @@
         self.settings, self.clock, self.most, self.hand_in = settings, clock, most, hand_in
         self.doors: set[Door] = set()
         self.leaving = False
-        self.listener: asyncio.Server | None = None
+        self.listener: Listener | None = None
 
-    async def listen(self, sock: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(lambda: Door(self), sock=sock, backlog=BACKLOG)
-        loop.call_later(SWEEP_S, self.sweep)
+    def listen(self, sock: socket.socket) -> None:
+        self.listener = Listener(sock, BACKLOG, lambda: Door(self))
+        asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+
+    async def adopt(self, sock: socket.socket, told: dict[str, Any]) -> None:
+        """Go on with a client's connection of the process before."""
+        sock.setblocking(False)
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: Door(self, told), sock)
 
     def joined(self, door: Door) -> None:
         """Bound the sockets. One that has not asked for anything yet makes room first, be it silent or half
@@ -324,7 +337,7 @@
             if door.idle() and (door.asked or door.made_us < new):
                 door.close()
 
-    async def close(self) -> None:
+    def close(self) -> None:
         if self.listener is not None:
             self.listener.close()
         for door in list(self.doors):
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -88,16 +88,22 @@
         self.live, self.size, self.list_size, self.ended_size = 0, 0, 0, 0
         self.failed, self.compactions = False, 0
         self.pending: list[bytes] = []
-        folder.mkdir(parents=True, exist_ok=True)
+        self.fd = -1
+        self.replay(self.path.read_bytes() if self.path.exists() else b"")
+
+    def own(self) -> Store:
+        """From here on the journal is written, by this process alone."""
+        self.path.parent.mkdir(parents=True, exist_ok=True)
         self.spare.unlink(missing_ok=True)
         self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        self.replay()
+        os.ftruncate(self.fd, self.size)
+        os.lseek(self.fd, self.size, os.SEEK_SET)
+        return self
 
     # Reading
 
-    def replay(self) -> None:
-        """Read all whole records; a torn tail (the process died in a write) is cut off."""
-        data = self.path.read_bytes()
+    def replay(self, data: bytes) -> None:
+        """Read all whole records. A torn tail (the process died in a write) is left out, and later cut."""
         at = 0
         readers: dict[str, Callable[[list[Any], bytes], None]] = {
             "taken": self._taken, "attempt": self._attempt, "outcome": self._outcome, "over": self._over,
@@ -117,8 +123,6 @@
             at += HEAD.size + length
         if at < len(data):
             log.warning("journal: cut %d bytes of a torn tail", len(data) - at)
-            os.ftruncate(self.fd, at)
-        os.lseek(self.fd, at, os.SEEK_SET)
         self.size = at
 
     def _taken(self, rest: list[Any], body: bytes) -> None:
--- /dev/null
+++ b/lemonshunt/net/upgrade.py
@@ -0,0 +1,189 @@
+"""Upgrades: who owns the journal, and how a process hands all that it has to the one that takes over.
+
+Whoever holds the lock on `lock` in $LB_STATE owns the journal and every message. It also listens on the Unix
+socket `upgrade` beside it. A process that finds the lock taken asks there:
+
+    new: "take over 1\n"       old: stands still; what it has, as JSON and descriptors, in chunks
+    new: "taken\n"             once it could serve, without having written anything
+    old: "yours\n" + the lock  from the moment it has read that, the old one owns nothing
+
+Up to "taken" any fault leaves the old process as it was. If it dies before "yours" came, the lock is free,
+and the new one starts from the journal as after any crash. The lock goes with its processes, so no file that
+was left behind can stand for an owner.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import json
+import logging
+import os
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+from lemonshunt import interface as i
+
+ASK, TAKEN, YOURS = b"take over 1\n", b"taken\n", b"yours\n"
+HEAD = struct.Struct("<II")  # bytes of JSON, descriptors
+FDS_A_TIME = 100
+PATIENCE_S = 2.0  # either side waits so long for the other; the old one stands still meanwhile
+HELLO_S = 0.2  # who connects asks at once
+RETRY_S = 0.1
+Made = TypeVar("Made")
+log = logging.getLogger("lemonshunt.upgrade")
+
+
+class Heritage:
+    """What the process before handed over. Descriptors belong to whoever takes them out."""
+
+    def __init__(self, link: socket.socket, told: dict[str, Any], fds: list[int]) -> None:
+        self.link, self.told, self.fds = link, told, dict(enumerate(fds))
+
+    def socket(self, number: int) -> socket.socket:
+        return socket.socket(fileno=self.fds.pop(number))
+
+    def confirm(self) -> int:
+        """Say that all is taken. Returns the lock's descriptor, or -1: then nothing was handed over."""
+        try:
+            self.link.sendall(TAKEN)
+            said, fds, *_ = socket.recv_fds(self.link, len(YOURS), 1)
+            return fds[0] if said == YOURS and fds else -1
+        except OSError:
+            return -1
+
+    def close(self) -> None:
+        """Close what nobody has taken out."""
+        self.link.close()
+        while self.fds:
+            os.close(self.fds.popitem()[1])
+
+
+def memory(told: dict[str, Any]) -> i.Memory:
+    """The module's memory, as JSON brought it."""
+    calls = tuple(i.CallOut(c["target"], c["sent_us"], c["idle_us"], c["gap_us"], c["judged"],
+                            tuple((name, number) for name, number in c["attempts"])) for c in told["calls"])
+    return i.Memory(tuple((destination, which, row) for destination, which, row in told["places"]),
+                    tuple((target, row) for target, row in told["targets"]),
+                    told["rests"], told["purses"], told["idle_us"], calls)
+
+
+class Ownership:
+    """The lock and the socket of one folder."""
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self.fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        self.folder = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        # By way of the descriptor, since the path of a Unix socket may not be longer than 107 bytes.
+        self.path = f"/proc/self/fd/{self.folder}/upgrade"
+        self.listener: socket.socket | None = None
+
+    def free(self) -> bool:
+        """Take the lock if nobody has it."""
+        try:
+            fcntl.flock(self.fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return False
+        return True
+
+    async def obtain(self, make: Callable[[Heritage | None], Awaitable[Made]]) -> Made:
+        """Become the owner: alone, or by taking over. `make` builds what will serve, and may be called again
+        where a take-over came to nothing."""
+        while True:
+            if self.free():
+                return await make(None)
+            heritage = self.ask()
+            if heritage is not None:
+                made = await make(heritage)
+                lock = heritage.confirm()
+                if lock >= 0:
+                    heritage.link.close()
+                    os.close(self.fd)
+                    self.fd = lock
+                    return made
+                heritage.close()
+                log.warning("the process before has not handed over; trying again")
+            await asyncio.sleep(RETRY_S)
+
+    def ask(self) -> Heritage | None:
+        """Ask the owner for all that it has; None where it does not answer as it should."""
+        link = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        link.settimeout(PATIENCE_S)
+        fds: list[int] = []
+        try:
+            link.connect(self.path)
+            link.sendall(ASK)
+            size, count = HEAD.unpack(receive(link, HEAD.size))
+            told = json.loads(receive(link, size))
+            while len(fds) < count:
+                said, more, *_ = socket.recv_fds(link, 1, FDS_A_TIME)
+                fds += more
+                if not said:
+                    raise ConnectionResetError("the process before has gone")
+            return Heritage(link, told, fds)
+        except (OSError, ValueError, struct.error) as error:
+            log.warning("the process before does not hand over: %s", error or type(error).__name__)
+            Heritage(link, {}, fds).close()
+            return None
+
+    def listen(self, hand_over: Callable[[socket.socket], None]) -> None:
+        """Wait for the process that takes over. Only the owner may: what lies at the path is a leftover."""
+        try:
+            os.unlink(self.path)
+        except FileNotFoundError:
+            pass
+        self.listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        self.listener.bind(self.path)
+        self.listener.listen(4)
+        self.listener.setblocking(False)
+        asyncio.get_running_loop().add_reader(self.listener, self.asked, hand_over)
+
+    def asked(self, hand_over: Callable[[socket.socket], None]) -> None:
+        assert self.listener is not None
+        try:
+            link, _ = self.listener.accept()
+        except BlockingIOError:
+            return
+        with link:
+            link.settimeout(HELLO_S)
+            try:
+                if receive(link, len(ASK)) == ASK:
+                    link.settimeout(PATIENCE_S)
+                    hand_over(link)
+            except OSError as error:
+                log.warning("not handed over: %s", error or type(error).__name__)
+
+    def give(self, link: socket.socket, told: dict[str, Any], fds: list[int]) -> bool:
+        """Hand over. True once the other process owns all; then nothing may be written or sent here."""
+        data = json.dumps(told, separators=(",", ":")).encode()
+        link.sendall(HEAD.pack(len(data), len(fds)) + data)
+        for first in range(0, len(fds), FDS_A_TIME):
+            socket.send_fds(link, [b"f"], fds[first:first + FDS_A_TIME])
+        if receive(link, len(TAKEN)) != TAKEN:
+            return False
+        try:
+            socket.send_fds(link, [YOURS], [self.fd])
+        except OSError:  # it has gone, so it cannot own anything
+            return False
+        return True
+
+    def close(self) -> None:
+        """The lock goes with the process: it is not given back before its end."""
+        if self.listener is not None:
+            asyncio.get_running_loop().remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
+
+
+def receive(link: socket.socket, size: int) -> bytes:
+    data = b""
+    while len(data) < size:
+        more = link.recv(size - len(data))
+        if not more:
+            raise ConnectionResetError("the other process has gone")
+        data += more
+    return data
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -5,8 +5,24 @@
 from collections import deque
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from typing import Any
 
-from lemonshunt.interface import MessageClass
+from lemonshunt.interface import MessageClass, Row
+
+PLACE_KEPT = ("window", "mean", "seed", "mean_at", "wait_until", "rest_until", "rest", "cut_at", "limit",
+              "left", "share", "pace_at")
+TARGET_KEPT = ("failing", "tried_at", "idle_at", "outage_at", "back_at", "spread")
+
+
+def kept(record: Any, names: tuple[str, ...]) -> Row:
+    """The named fields of a record, for the process that takes over."""
+    return {name: getattr(record, name) for name in names}
+
+
+def restore(record: Any, names: tuple[str, ...], row: Row) -> None:
+    for name in names:
+        if name in row:
+            setattr(record, name, row[name])
 
 
 @dataclass(slots=True)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import itertools
 import json
 import os
@@ -216,17 +217,27 @@
         path = self.folder / "config.json"
         path.write_text(json.dumps(json.loads(path.read_text()) | changes))
 
-    async def start(self) -> Node:
+    def beside(self) -> Node:
+        """The process that will take over: on the same folder, with a control address of its own."""
+        other = copy.copy(self)
+        other.log, other.control = [], free_port(self.host)
+        return other
+
+    async def start(self, ready: bool = True) -> Node:
         env = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"),
-               "LB_STATE": str(self.folder / "state"),
+               "LB_STATE": str(self.folder / "state"), "LB_CONTROL": f"{self.host}:{self.control}",
                "LB_DISCOVERY": json.loads((self.folder / "config.json").read_text())["discovery"]}
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "lemonshunt", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
         self.drain = asyncio.create_task(self.read_log())
         self.ready = asyncio.Event()
+        if ready:
+            await self.until_ready()
+        return self
+
+    async def until_ready(self) -> None:
         async with asyncio.timeout(PATIENCE):
             await self.ready.wait()
-        return self
 
     async def read_log(self) -> None:
         assert self.process.stderr is not None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,7 +13,8 @@
 from lemonshunt.net.client import Call, Connection, Item, Pool
 from lemonshunt.net.config import Address
 from lemonshunt.net.engine import Clock
-from lemonshunt.net.server import Door, Handed, Server, bind
+from lemonshunt.net.listen import bind
+from lemonshunt.net.server import Door, Handed, Server
 from lemonshunt.net.store import MOST_ENDED, Store, Taken
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, SETTINGS, Answer, Peer, Request, always, hang, message
@@ -26,7 +27,7 @@
 
 
 def test_store_gives_back_what_it_was_told_also_after_compacting(tmp_path: Path) -> None:
-    store = Store(tmp_path, 3_000_000)
+    store = Store(tmp_path, 3_000_000).own()
     for name in "abcd":
         store.take(taken(name))
     a, b = store.messages["a"], store.messages["b"]
@@ -41,7 +42,7 @@
     store.outage("s1", 5, -1)
     for _ in range(2):
         store.flush()
-        back = Store(tmp_path, 3_000_000)
+        back = Store(tmp_path, 3_000_000).own()
         assert list(back.messages) == ["a", "b"] and back.messages == store.messages
         assert (a.attempts, a.ran_at_us, a.ran_on, a.out) == (2, 50, "s1", {1: (60, "s2")})
         assert (back.messages["b"].attempts, back.messages["b"].ran_at_us) == (1, -1)
@@ -52,37 +53,37 @@
 
 
 def test_store_bounds_its_files_under_steady_traffic(tmp_path: Path) -> None:
-    store = Store(tmp_path, 1_000_000)
+    store = Store(tmp_path, 1_000_000).own()
     for n in range(4000):
         store.take(taken(f"m{n}", 2000))
         store.flush()
         store.over(f"m{n}")
         store.flush()
         assert store.size < 1_000_000
-    assert Store(tmp_path, 1_000_000).messages == {}
+    assert Store(tmp_path, 1_000_000).own().messages == {}
 
 
 def test_store_forgets_the_oldest_ids_and_keeps_to_its_size(tmp_path: Path) -> None:
-    store = Store(tmp_path, 1_000_000)
+    store = Store(tmp_path, 1_000_000).own()
     for n in range(MOST_ENDED + 1000):
         store.take(taken(f"{n:016x}"))
         store.over(f"{n:016x}")
         store.flush()
         assert store.size < 1_000_000
-    back = Store(tmp_path, 1_000_000)
+    back = Store(tmp_path, 1_000_000).own()
     assert len(back.ended) == MOST_ENDED and back.knows(f"{MOST_ENDED + 999:016x}")
     assert not back.knows(f"{999:016x}") and back.has_room(60_000)
 
 
 def test_a_bit_gone_wrong_cuts_the_journal_there(tmp_path: Path) -> None:
-    store = Store(tmp_path, 1_000_000)
+    store = Store(tmp_path, 1_000_000).own()
     for name in "abc":
         store.take(taken(name))
     store.flush()
     data = bytearray((tmp_path / "journal").read_bytes())
     data[-10] ^= 1
     (tmp_path / "journal").write_bytes(data)
-    assert list(Store(tmp_path, 1_000_000).messages) == ["a", "b"]
+    assert list(Store(tmp_path, 1_000_000).own().messages) == ["a", "b"]
 
 
 def pool(ends: list[i.Ended], idle_us: int = 5_000_000) -> Pool:
@@ -342,16 +343,16 @@
             door.left = gone.set
             came.put_nowait(handed)
         server = Server(settings(SETTINGS), Clock(), 10, hand_in)
-        await server.listen(await bind(Address("127.0.0.1", 0)))
+        server.listen(await bind(Address("127.0.0.1", 0)))
         assert server.listener is not None
-        port = server.listener.sockets[0].getsockname()[1]
+        port = server.listener.where().port
         _, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(message("m"))
         assert (await came.get()).id == "m" and not gone.is_set()
         writer.close()
         async with asyncio.timeout(20):
             await gone.wait()
-        await server.close()
+        server.close()
     asyncio.run(scene())
 
 
@@ -362,9 +363,9 @@
     async def scene() -> None:
         clock = Skewed()
         server = Server(settings(SETTINGS), clock, 10, lambda handed, door: None)
-        await server.listen(await bind(Address("127.0.0.1", 0)))
+        server.listen(await bind(Address("127.0.0.1", 0)))
         assert server.listener is not None
-        port = server.listener.sockets[0].getsockname()[1]
+        port = server.listener.where().port
         client = await asyncio.open_connection("127.0.0.1", port)
         client[1].write(b"GET /up HTTP/1.1\r\n\r\n")
         await client[0].readuntil(b"up\n")
@@ -378,21 +379,21 @@
         assert answer.startswith(b"HTTP/1.1 408") if sent else answer == b""
         client[1].write(b"GET /up HTTP/1.1\r\n\r\n")
         await client[0].readuntil(b"up\n")
-        await server.close()
+        server.close()
     asyncio.run(scene())
 
 
 def test_too_many_clients_cost_the_one_idle_longest() -> None:
     async def scene() -> None:
         server = Server(settings(SETTINGS), Clock(), 2, lambda handed, door: None)
-        await server.listen(await bind(Address("127.0.0.1", 0)))
+        server.listen(await bind(Address("127.0.0.1", 0)))
         assert server.listener is not None
-        port = server.listener.sockets[0].getsockname()[1]
+        port = server.listener.where().port
         first, *others = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
         async with asyncio.timeout(20):
             assert await first[0].read() == b""
         others[1][1].write(b"GET /up HTTP/1.1\r\n\r\n")
         async with asyncio.timeout(20):
             assert (await others[1][0].readline()).startswith(b"HTTP/1.1 200")
-        await server.close()
+        server.close()
     asyncio.run(scene())
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,266 @@
+"""Two processes on one folder: what the old one has passes to the new one whole, or stays where it is."""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import json
+import os
+import signal
+import socket
+from collections.abc import Callable
+from dataclasses import asdict
+from pathlib import Path
+
+import pytest
+
+from lemonshunt import interface as i
+from lemonshunt.choice import Dispatcher
+from lemonshunt.net.upgrade import ASK, HEAD, memory, receive
+from tests.scripts import ENTRIES, MS, S, ask, end, sends, settings, started
+from tests.sockets import OK, PATIENCE, Answer, Node, Peer, Platform, Request, always, hang, message
+from tests.test_node import folder_nodes, ids, node_on, play, target
+
+
+async def upgraded(node: Node) -> Node:
+    """Start the new process and wait until it serves and the old one has ended by itself."""
+    new = node.beside()
+    folder_nodes[-1].append(new)
+    await new.start()
+    assert (await new.call(b"HEALTH\n")).startswith("ok")
+    async with asyncio.timeout(PATIENCE):
+        assert await node.process.wait() == 0
+    return new
+
+
+async def released(free: asyncio.Event, peer: Peer, status: int = 200) -> None:
+    async def handler(request: Request) -> Answer:
+        await free.wait()
+        return Answer(status)
+    peer.handler = handler
+
+
+def test_clients_calls_and_order_pass_to_the_new_process(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        one, two = await target(platform, hang), await target(platform, always(OK), "s2", block=8)
+        free = asyncio.Event()
+        await released(free, one)
+        node = await node_on(folder, platform)
+        kept, half = await node.client(), await node.client()
+        assert (await kept.hand_in("a", "turn", X_Session_Key="claim"))[0] == 202
+        await one.got(1)
+        assert (await kept.hand_in("b", "turn", dest=8, X_Session_Key="claim"))[0] == 202
+        data = message("c", "turn", dest=8, X_Session_Key="other")
+        half.writer.write(data[:70])
+        reader, caller = await asyncio.open_connection(node.host, node.control)
+        caller.write(b"HEAL")
+        await asyncio.sleep(0.1)
+        new = await upgraded(node)
+        caller.write(b"TH\n")
+        assert (await reader.read()).startswith(b"ok")
+        half.writer.write(data[70:])
+        assert (await half.answer())[0] == 202
+        assert (await kept.hand_in("d", "turn", dest=8, X_Session_Key="claim"))[0] == 202
+        assert (await kept.hand_in("a", "turn", X_Session_Key="claim"))[0] == 202, "it is ours already"
+        await two.got(1)
+        assert ids(one) == ["a"] and ids(two) == ["c"]
+        free.set()
+        await two.got(3)
+        assert ids(one) == ["a"] and ids(two) == ["c", "b", "d"]
+        assert await new.end(signal.SIGTERM) == 0
+        assert not platform.notices and not (folder / "state/journal.new").exists()
+    play(scene, tmp_path)
+
+
+def test_bans_waits_drains_and_owed_ends_pass_to_the_new_process(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        told = Answer(429, {"X-RateLimit-Wait-Ms": "60000"})
+        one, two = await target(platform, always(told)), await target(platform, always(OK), "s2", block=8)
+        three = await target(platform, always(Answer(500)), "s3", block=9)
+        platform.accepts = False
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("waits", "status"))[0] == 202
+        await one.got(1)
+        assert (await node.call(b"OFFLINE s2\n")).startswith("ok")
+        assert (await node.hand_in("banned", "status", dest=8))[0] == 202
+        assert (await node.hand_in("owed", "pay", dest=9))[0] == 202
+        await three.got(1)
+        await platform.until(lambda: any(r.path == "/v1/notices" for r in platform.requests))
+        assert (await node.call(b"LEAVE\n")).startswith("ok")
+        new = await upgraded(node)
+        client = await new.client()
+        client.writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert (await client.answer())[0] == 503
+        assert (await new.call(b"JOIN\n")).startswith("ok")
+        assert not two.requests and len(one.requests) == 1
+        platform.accepts = True
+        assert (await platform.notice("owed"))["state"] == "failed"
+        assert (await new.call(b"ONLINE s2\n")).startswith("ok")
+        await two.got(1)
+        assert ids(two) == ["banned"] and len(one.requests) == len(three.requests) == 1
+    play(scene, tmp_path)
+
+
+def test_no_connection_is_refused_or_closed_unread_while_processes_change(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        node = await node_on(folder, platform, max_open=10_000)
+        taken: set[str] = set()
+        stop = asyncio.Event()
+
+        async def client(number: int) -> None:
+            n = 0
+            while not stop.is_set():
+                name = f"c{number}-{n}"
+                status, _ = await node.hand_in(name, "status")
+                assert status == 202
+                taken.add(name)
+                n += 1
+        clients = [asyncio.create_task(client(n)) for n in range(6)]
+        last = node
+        for _ in range(3):
+            before = len(taken)
+            while len(taken) < before + 20:
+                await asyncio.sleep(0.01)
+            last = await upgraded(last)
+        stop.set()
+        await asyncio.gather(*clients)
+        async with asyncio.timeout(PATIENCE):
+            while set(ids(peer)) != taken:
+                await asyncio.sleep(0.05)
+        assert len(peer.requests) == len(taken), "each was sent once"
+    play(scene, tmp_path)
+
+
+def ask_owner(folder: Path) -> socket.socket:
+    link = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    link.settimeout(PATIENCE)
+    link.connect(f"/proc/self/fd/{os.open(folder / 'state', os.O_RDONLY)}/upgrade")
+    link.sendall(ASK)
+    return link
+
+
+def dies_at_once(link: socket.socket) -> None:
+    link.close()
+
+
+def dies_when_it_has_all(link: socket.socket) -> None:
+    size, count = HEAD.unpack(receive(link, HEAD.size))
+    assert json.loads(receive(link, size))["memory"] and count > 0
+    link.close()
+
+
+def says_nonsense(link: socket.socket) -> None:
+    size, _ = HEAD.unpack(receive(link, HEAD.size))
+    receive(link, size)
+    link.sendall(b"broken")
+    assert receive(link, 1) == b"f"
+
+
+def says_nothing(link: socket.socket) -> None:
+    """Until the old process has had enough of it."""
+
+
+@pytest.mark.parametrize("heir", [dies_at_once, dies_when_it_has_all, says_nonsense, says_nothing])
+def test_a_new_process_that_fails_leaves_the_old_one_as_it_was(
+        tmp_path: Path, heir: Callable[[socket.socket], None]) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, hang)
+        free = asyncio.Event()
+        await released(free, peer)
+        node = await node_on(folder, platform)
+        client = await node.client()
+        assert (await client.hand_in("a", "pay"))[0] == 202
+        await peer.got(1)
+        link = ask_owner(folder)
+        await asyncio.to_thread(heir, link)
+        assert (await client.hand_in("b", "pay"))[0] == 202
+        free.set()
+        await peer.got(2)
+        link.close()
+        new = await upgraded(node)
+        assert (await client.hand_in("c", "pay"))[0] == 202
+        await peer.got(3)
+        assert await new.end(signal.SIGTERM) == 0
+        assert ids(peer) == ["a", "b", "c"] and not platform.notices
+    play(scene, tmp_path)
+
+
+def test_a_new_process_that_cannot_start_ends_and_the_old_one_serves(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        node = await node_on(folder, platform)
+        node.configure(settings={})
+        broken = node.beside()
+        await broken.start(ready=False)
+        assert await broken.process.wait() == 2
+        assert (await node.hand_in("a", "pay"))[0] == 202
+        await peer.got(1)
+    play(scene, tmp_path)
+
+
+def test_an_owner_that_dies_while_it_hands_over_leaves_the_journal(tmp_path: Path) -> None:
+    """The new process waits for as long as the lock is held, says no to operators, and then starts alone."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, hang)
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("a", "status"))[0] == 202
+        await peer.got(1)
+        await node.end()
+        (folder / "state/upgrade").unlink()
+        listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        listener.bind(f"/proc/self/fd/{os.open(folder / 'state', os.O_RDONLY)}/upgrade")
+        listener.listen()
+        lock = os.open(folder / "state/lock", os.O_RDWR)
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        await node.start(ready=False)
+        link, _ = await asyncio.to_thread(listener.accept)
+        link.sendall(HEAD.pack(1000, 3) + b"{half of what it has")
+        assert not node.ready.is_set()
+        peer.handler = always(OK)
+        link.close()
+        listener.close()
+        assert (await node.call(b"HEALTH\n")).startswith("fail")
+        os.close(lock)
+        await node.until_ready()
+        assert (await peer.got(2))[1].headers["x-correlation-id"] == "a"
+    play(scene, tmp_path)
+
+
+def test_files_left_behind_stand_for_no_owner(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        (folder / "state").mkdir(exist_ok=True)
+        stale = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        stale.bind(f"/proc/self/fd/{os.open(folder / 'state', os.O_RDONLY)}/upgrade")
+        stale.close()
+        (folder / "state/lock").write_text("4711")
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("a", "pay"))[0] == 202
+        await peer.got(1)
+    play(scene, tmp_path)
+
+
+def heir_of(d: Dispatcher, messages: list[i.Event], now: int) -> Dispatcher:
+    """A dispatcher that takes over from another, with its memory as it comes over the wire."""
+    new = Dispatcher(settings(), 8, now)
+    told = json.loads(json.dumps(asdict(d.memory())))
+    new.handle(now, [i.Listed(i.ListKind.SAVED, ENTRIES), *messages, i.Inherited(memory(told))])
+    return new
+
+
+def test_the_module_goes_on_with_slots_waits_and_keys() -> None:
+    d = started()
+    cls = {c.name: c for c in settings().classes}["turns"]
+    first = sends(d.handle(0, [ask("a", 11, cls="turns", due=9 * S, key="k")]))[0]
+    full = sends(d.handle(0, [ask("x")]))[0]
+    d.handle(MS, [end(full, i.Outcome.FULL, wait_us=3 * S), ask("b", 11, cls="turns", due=9 * S, key="k")])
+    held: list[i.Event] = [i.Recalled("x", 10, settings().classes[0], 6 * S, attempts=1),
+                           i.Recalled("a", 11, cls, 9 * S, "k", attempts=1),
+                           i.Recalled("b", 11, cls, 9 * S, "k")]
+    new = heir_of(d, held, 2 * MS)
+    assert not sends(new.handle(S, [ask("y")])), "the wait still binds, and the key is still out"
+    after = sends(new.handle(2 * S, [end(first, i.Outcome.DELIVERED)]))
+    assert [s.message for s in after] == ["b"]
+    assert {s.message for s in sends(new.handle(4 * S, [i.TimerDue("look")]))} <= {"x", "y"}
+    assert new.calls_out == len(new.attempts) > 1
