--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -22,6 +22,7 @@
 
 IDLE_MARGIN_US = 700_000  # an idle connection is closed so long before its target would: a reset costs a try
 SWEEP_S = 0.2
+QUIET_S = 0.25  # an answer that has begun and then stands still for so long does not come to its end
 MOST_IDLE = 4  # idle connections kept to one target: some take only few, idle ones counted
 MOST_WAITS = 1000
 SECOND = 1_000_000
@@ -54,6 +55,7 @@
     until_us: int = 0
     connection: Connection | None = None
     timer: asyncio.TimerHandle | None = None
+    quiet: asyncio.TimerHandle | None = None
     written: bool = False
     batched: bool = False
     open: dict[str, Item] = field(default_factory=dict)
@@ -128,7 +130,9 @@
             self.pool.ended(call, self.reader, broken=True)
             self.close()
             return
-        if self.reader.complete:
+        if not self.reader.complete:
+            self.pool.hush(call)
+        else:
             self.call, call.connection = None, None
             self.pool.ended(call, self.reader)
             if self.reader.keep_alive and not self.closing():
@@ -250,6 +254,25 @@
 
     # Ending
 
+    def hush(self, call: Call) -> None:
+        """A piece of an answer has come: what it begins must go on."""
+        if call.quiet is not None:
+            call.quiet.cancel()
+        call.quiet = asyncio.get_running_loop().call_later(QUIET_S, self.fell_quiet, call)
+
+    def fell_quiet(self, call: Call) -> None:
+        """The rest of an answer does not come: what is there counts as if the connection had broken here, so
+        that its slot is free for others."""
+        if call.connection is not None and call.open:
+            self.ended(call, call.connection.reader, broken=True)
+
+    @staticmethod
+    def disarm(call: Call) -> None:
+        for timer in (call.timer, call.quiet):
+            if timer is not None:
+                timer.cancel()
+        call.timer = call.quiet = None
+
     def arm(self, call: Call) -> None:
         if call.timer is not None:
             call.timer.cancel()
@@ -264,7 +287,11 @@
             call.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.timed_out, call)
 
     def timed_out(self, call: Call) -> None:
-        self.give_up(call, list(call.open.values()), Outcome.TIMED_OUT)
+        connection = call.connection
+        if connection is not None and connection.reader.says_ok() and not call.batched:
+            self.ended(call, connection.reader, broken=True)  # delivered, whatever the rest
+        else:
+            self.give_up(call, list(call.open.values()), Outcome.TIMED_OUT)
 
     def cancel(self, message: str, attempt: int) -> None:
         call = self.calls.get((message, attempt))
@@ -283,9 +310,7 @@
             self.drop(call)
 
     def drop(self, call: Call) -> None:
-        if call.timer is not None:
-            call.timer.cancel()
-            call.timer = None
+        self.disarm(call)
         if call.connection is not None:
             connection, call.connection = call.connection, None
             connection.call = None
@@ -313,9 +338,7 @@
 
     def ended(self, call: Call, reader: ResponseReader, broken: bool = False) -> None:
         """An answer came, or the connection broke before it was whole."""
-        if call.timer is not None:
-            call.timer.cancel()
-            call.timer = None
+        self.disarm(call)
         many = call.batched
         report = self.report(reader)
         # A first line with 200 is a delivery though the rest is cut; of several, only the whole answer tells.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,7 +17,7 @@
 from lemonshunt.net.server import Door, Handed, Server
 from lemonshunt.net.store import MOST_ENDED, Store, Taken
 from lemonshunt.wirehost import settings
-from tests.sockets import OK, SETTINGS, Answer, Peer, Request, always, hang, message
+from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Request, always, hang, message
 
 ORDER = settings(SETTINGS).classes[0]
 
@@ -269,6 +269,53 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize(("begun", "outcome"), [
+    (b"HTTP/1.1 200 OK\r\n", i.Outcome.DELIVERED),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", i.Outcome.DELIVERED),
+    (b"HTTP/1.1 200 O", i.Outcome.UNREADABLE),
+    (b"HTTP/1.1 503 No\r\nContent-Length: 5\r\n\r\nab", i.Outcome.UNREADABLE)])
+def test_an_answer_that_falls_quiet_holds_no_slot(begun: bytes, outcome: i.Outcome) -> None:
+    """The connection stays open, and the call has a minute."""
+    async def scene() -> None:
+        ends: list[i.Ended] = []
+
+        async def quiet(request: Request) -> None:
+            request.writer.write(begun)
+            await asyncio.sleep(3600)
+        peer = await Peer(quiet).start()
+        p = pool(ends)
+        p.serving({1: Address("127.0.0.1", peer.port)})
+        p.start(call(Clock(), "m", 60_000_000))
+        async with asyncio.timeout(PATIENCE):
+            while not ends:
+                await asyncio.sleep(0.01)
+        assert [(e.outcome, e.closed) for e in ends] == [(outcome, outcome is i.Outcome.DELIVERED)]
+        assert p.out == 0 and not p.calls
+        p.close()
+    asyncio.run(scene())
+
+
+def test_an_answer_in_pieces_is_waited_for() -> None:
+    async def scene() -> None:
+        ends: list[i.Ended] = []
+
+        async def pieces(request: Request) -> None:
+            for byte in b"HTTP/1.1 429 No\r\nX-RateLimit-Wait-Ms: 700\r\nContent-Length: 2\r\n\r\nab":
+                request.writer.write(bytes([byte]))
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(3600)
+        peer = await Peer(pieces).start()
+        p = pool(ends)
+        p.serving({1: Address("127.0.0.1", peer.port)})
+        p.start(call(Clock(), "m", 60_000_000))
+        async with asyncio.timeout(PATIENCE):
+            while not ends:
+                await asyncio.sleep(0.01)
+        assert (ends[0].outcome, ends[0].wait_us) == (i.Outcome.FULL, 700_000) and len(p.idle[1]) == 1
+        p.close()
+    asyncio.run(scene())
+
+
 def test_no_message_of_a_call_times_out_while_the_call_still_carries_it() -> None:
     """Told that it had, the module sent it a second time beside the first."""
     async def scene() -> None:
