Read an answer without a length to the end of its connection, as HTTP/1.1 allows

A batch of them was sent again or failed as one that may have run, and a refusal's wait was not heard. A reset, or a length or chunks that are cut, still count as broken. The test fails without the change. Ruled out: keep-alive, since the close came in order.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -130,15 +130,26 @@
             self.pool.ended(call, self.reader, broken=True)
             self.close()
             return
-        if not self.reader.complete:
+        if self.reader.complete:
+            self.finish(call)
+        else:
             self.pool.hush(call)
+
+    def eof_received(self) -> bool:
+        if self.call is not None:
+            self.reader.end()
+            if self.reader.complete:
+                self.finish(self.call)
+        return False
+
+    def finish(self, call: Call) -> None:
+        """The answer is whole."""
+        self.call, call.connection = None, None
+        self.pool.ended(call, self.reader)
+        if self.reader.keep_alive and not self.closing():
+            self.pool.keep(self, call.target)
         else:
-            self.call, call.connection = None, None
-            self.pool.ended(call, self.reader)
-            if self.reader.keep_alive and not self.closing():
-                self.pool.keep(self, call.target)
-            else:
-                self.close()
+            self.close()
 
     def connection_lost(self, error: Exception | None) -> None:
         self.pool.lost(self)
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -45,6 +45,12 @@
         if self.reader.complete:
             self.end(None)
 
+    def eof_received(self) -> bool:
+        self.reader.end()
+        if self.reader.complete:
+            self.end(None)
+        return False
+
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
         self.end(ConnectionResetError("the connection ended"))
--- a/lemonshunt/net/http.py
+++ b/lemonshunt/net/http.py
@@ -50,6 +50,11 @@
         if self.size > self.most:
             raise BadAnswer("the answer is too large")
 
+    def end(self) -> None:
+        """The connection has ended in order: an answer that tells no length of its body is whole by that."""
+        if self.status and not {"content-length", "transfer-encoding"} & self.headers.keys():
+            self.complete, self.keep_alive = True, False
+
     def says_ok(self) -> bool:
         """Whether the first line is whole and says 200, whatever is wrong with the rest."""
         return self.status == 200 or FIRST_OK.match(self.first) is not None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -295,6 +295,34 @@
     asyncio.run(scene())
 
 
+def test_an_answer_without_a_length_ends_with_its_connection() -> None:
+    """Taken for broken, a batch that was delivered in whole was taken for one that may have run."""
+    async def scene() -> None:
+        ends: list[i.Ended] = []
+
+        async def answer(request: Request) -> None:
+            if request.path == "/hook":
+                request.writer.write(b"HTTP/1.1 429 No\r\nX-RateLimit-Wait-Ms: 700\r\n\r\nno")
+            else:
+                states = [{"id": x["id"], "state": "accepted"} for x in json.loads(request.body)]
+                request.writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + json.dumps(states).encode())
+        peer = await Peer(answer).start()
+        p, now = pool(ends), Clock()()
+        p.serving({1: Address("127.0.0.1", peer.port)})
+        p.start(Call(1, (7, -1), now, [Item(name, 0, None, b"x", now + 10**7, now + 10**7) for name in "ab"]))
+        async with asyncio.timeout(PATIENCE):
+            while len(ends) < 2:
+                await asyncio.sleep(0.01)
+            p.start(call(Clock(), "c"))
+            while len(ends) < 3:
+                await asyncio.sleep(0.01)
+        assert [(e.message, e.outcome) for e in ends] == [
+            ("a", i.Outcome.DELIVERED), ("b", i.Outcome.DELIVERED), ("c", i.Outcome.FULL)]
+        assert ends[2].wait_us == 700_000 and not p.idle.get(1)
+        p.close()
+    asyncio.run(scene())
+
+
 def test_an_answer_in_pieces_is_waited_for() -> None:
     async def scene() -> None:
         ends: list[i.Ended] = []
