Wait for no attempt longer than ten expected calls

Slots were held by calls that fall quiet before an answer begins: 43 calls at one node for 60 of some 300 slot-seconds, a repeatable one for its aim, 14 expected calls, a once-only one for two.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -36,6 +36,7 @@
 SICK_CAP = 0.5  # and while it fails or is slow: the design's half
 SLOW_TIMES = 4  # times its seed: an expected call above this counts as slow
 TIMEOUT_CALLS = 6  # expected calls that an attempt may take, and its class's aim at least
+MOST_CALLS = 10  # and no more expected calls than these, whatever the aim: by then nothing comes any more
 ONCE_AIMS = 2  # aims that a once-only attempt may take: longer, its slot is lost to other destinations
 FAIL_STEP = 0.35  # weight of the newest call in a target's failing share
 NEWS_TOP = 0.55  # its most, after a gap of some EASE_US: where we call seldom one failure is sign enough
@@ -564,4 +565,5 @@
     def timeout(self, m: Message, place: Place) -> int:
         """How long an attempt may take. To give up one that must not run twice is to lose it: it has more."""
         patience = m.cls.aim_us * (ONCE_AIMS if m.cls.effect is i.Effect.ONCE else 1)
-        return min(m.due - self.now, max(patience, int(TIMEOUT_CALLS * self.expected(place, m.cls))))
+        usual = self.expected(place, m.cls)
+        return min(m.due - self.now, int(max(min(patience, MOST_CALLS * usual), TIMEOUT_CALLS * usual)))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -243,6 +243,18 @@
     assert got and got[0] >= 300 * MS
 
 
+@pytest.mark.parametrize("cls", ["safe", "once"])
+def test_no_attempt_is_waited_for_much_longer_than_a_usual_call(cls: str) -> None:
+    """What has not answered by then has fallen quiet, and its slot is lost to the others."""
+    d, now = started(ONE), 0
+    for n in range(30):
+        send = sends(d.handle(now, [ask(f"m{n}", cls=cls, due=now + 8 * S)]))[0]
+        now += 50 * MS
+        d.handle(now, [end(send, OK, took=50 * MS)])
+    last = sends(d.handle(now, [ask("last", cls=cls, due=now + 8 * S)]))[0]
+    assert 300 * MS <= last.timeout_us <= 600 * MS
+
+
 def test_a_message_keeps_its_class_when_the_settings_change() -> None:
     d = started(ONE, max_attempts=6)
     send = sends(d.handle(0, [ask("old", cls="once", due=8 * S)]))[0]
