--- a/lemonshunt/net/upgrade.py
+++ b/lemonshunt/net/upgrade.py
@@ -30,7 +30,7 @@
 ASK, TAKEN, YOURS = b"take over 1\n", b"taken\n", b"yours\n"
 HEAD = struct.Struct("<II")  # bytes of JSON, descriptors
 FDS_A_TIME = 100
-PATIENCE_S = 2.0  # either side waits so long for the other; the old one stands still meanwhile
+PATIENCE_S = 0.8  # either side waits so long for the other; the old one stands still meanwhile
 HELLO_S = 0.2  # who connects asks at once
 RETRY_S = 0.1
 Made = TypeVar("Made")
