--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -313,7 +313,7 @@
             self.lines = {k: n for k, n in self.lines.items() if n.used() or n.rest_until > self.now}
         for destination in sorted(self.looks):
             for m in list(self.held.piles.get(destination, {}).values()):
-                if self.now >= self.drop_at(m) or not self.may_repeat(m):
+                if self.now >= self.drop_at(m) or not self.may_repeat(m) or self.barred(m):
                     self.answer(m)
         if len(self.messages) > BUFFER_MARK * self.s.max_open and self.held.piles:
             self.shed()
@@ -322,6 +322,11 @@
         """When the message's time left falls below its shortest expected call."""
         return m.due - max(int(self.soonest(m)), LOOK_US)
 
+    def barred(self, m: Message) -> bool:
+        """Whether every target that the message may go to has told a wait that is not over in its time."""
+        ends = [t.place.wait_until for t in self.usable(m)]
+        return bool(ends) and min(ends) > self.drop_at(m)
+
     def shed(self) -> None:
         """One jammed destination must not fill the buffer: the largest pile gives up its last in order."""
         worst = max(self.held.piles, key=lambda d: (len(self.held.piles[d]), d))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -255,6 +255,18 @@
     assert 300 * MS <= last.timeout_us <= 600 * MS
 
 
+def test_what_must_wait_past_its_time_is_refused_at_once() -> None:
+    """Held to its end it blocked its key, and its client heard too late that it may come again."""
+    d = started(ONE, max_retry_after_us=3 * S)
+    send = sends(d.handle(0, [ask("first", due=20 * S)]))[0]
+    told = d.handle(MS, [end(send, FULL, wait_us=9 * S), ask("short"), ask("long", due=20 * S)])
+    assert finals(told) == [i.Refuse("short", 3 * S)]
+    assert [a.message for a in finals(d.handle(2 * MS, [ask("next")]))] == ["next"]
+    both = started((*ONE, i.TargetEntry(9, 10, "south", "ways")))
+    send = next(s for s in sends(both.handle(0, [ask("a"), ask("b")])) if s.target == 1)
+    assert not finals(both.handle(MS, [end(send, FULL, wait_us=9 * S), ask("free")])), "one target is open"
+
+
 def test_a_message_keeps_its_class_when_the_settings_change() -> None:
     d = started(ONE, max_attempts=6)
     send = sends(d.handle(0, [ask("old", cls="once", due=8 * S)]))[0]
