--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -311,6 +311,8 @@
         if self.frozen:
             return
         self.rounds += 1
+        for name in [name for name, (_, door) in self.arriving.items() if door.closed()]:
+            self.withdrawn(name)  # its client cannot hear that it is taken on
         now = self.round_us = self.clock()
         events, self.events = self.events, []
         for event in events:
@@ -406,8 +408,11 @@
         m = self.store.messages.get(event.message)
         if m is None:
             return
-        if event.closed or event.outcome is i.Outcome.DELIVERED:
+        if event.outcome is i.Outcome.DELIVERED:
             self.store.over(m.id)
+        elif event.closed:
+            # A target says that it is over. Should that be wrong, it would be lost; a notice does no harm.
+            self.store.owe(m.id, "returned" if m.ran_at_us < 0 else "failed", 0)
         else:
             self.store.outcome(m, event.attempt, event.outcome not in i.NEVER_RAN)
 
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -269,6 +269,9 @@
         if self.transport is not None:
             self.transport.close()
 
+    def closed(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
 
 class Server:
     """Listens for clients. `hand_in` gets each well-formed message together with its connection."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from pathlib import Path
 
 import pytest
@@ -11,11 +12,13 @@
 from lemonshunt import interface as i
 from lemonshunt.choice import Dispatcher
 from lemonshunt.net.client import Call, Connection, Item, Pool
-from lemonshunt.net.config import Address
-from lemonshunt.net.engine import Clock
+from lemonshunt.net.config import Address, load
+from lemonshunt.net.control import Control
+from lemonshunt.net.engine import Clock, Engine
 from lemonshunt.net.listen import bind
 from lemonshunt.net.server import Door, Handed, Server
 from lemonshunt.net.store import MOST_ENDED, Store, Taken
+from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Request, always, hang, message
 
@@ -431,6 +434,32 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize("gone", [False, True])
+def test_a_message_whose_client_has_gone_is_not_taken_on(tmp_path: Path, gone: bool) -> None:
+    """It cannot hear of it, and hands the message in elsewhere."""
+    async def scene() -> None:
+        host = {"host": "s1", "dial": "127.0.0.1:9", "site": "x", "class": "a", "block": 7, "health": "up"}
+        (tmp_path / "config.json").write_text(json.dumps({
+            "name": "n", "listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "settings": SETTINGS,
+            "known": {"seq": 1, "whole": True, "hosts": [host]}}))
+        config = load({"LB_CONFIG": str(tmp_path / "config.json"), "LB_STATE": str(tmp_path)})
+        engine = Engine(config, Ownership(tmp_path), Control(), await bind(Address("127.0.0.1", 0)))
+        engine.store.own()
+        door = Door(engine.server)
+        pair = socket.socketpair()
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: door, pair[0])
+        due = engine.clock() + 10**7
+        engine.hand_in(Handed("m", ORDER, 7, due, "k", "acme", False, b"x"), door)
+        if gone:
+            door.close()
+        engine.round()
+        assert list(engine.store.messages) == ([] if gone else ["m"])
+        engine.pool.close()
+        engine.clients.close()
+        pair[1].close()
+    asyncio.run(scene())
+
+
 @pytest.mark.parametrize("sent", [b"", b"POST /order HTTP/1.1\r\nHost: x\r\n",
                                   message("m", body=b"abc")[:-1]])
 def test_a_peer_that_sends_no_whole_request_is_let_go_and_a_client_stays(sent: bytes) -> None:
