--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -202,3 +202,20 @@
         out = out[1:] + sends(d.handle(now, [end(out[0], OK)]))
         most = max(most, len(out))
     assert most == 6  # three quarters of eight
+
+
+def test_many_whose_question_for_the_list_failed_at_once_ask_again_apart() -> None:
+    """Discovery short of room: each has one question out, and comes back later and at times of its own."""
+    asked: list[list[int]] = []
+    for d in fleet(48, subscribe=True):
+        at: list[int] = []
+        d.handle(0, [i.Listed(i.ListKind.FAILED)])
+        for now in range(10 * MS, 8 * S, 10 * MS):
+            failed = now - 10 * MS in at
+            told = d.handle(now, [i.Listed(i.ListKind.FAILED) if failed else i.TimerDue("look")])
+            at += [now for a in told if isinstance(a, i.Subscribe)]
+        asked.append(at)
+    assert all(times[0] >= 500 * MS and 2 <= len(times) <= 4 for times in asked)
+    assert all(times[1] - times[0] >= S for times in asked), "each pause is longer"
+    firsts = sorted(times[0] for times in asked)
+    assert most_in_window(firsts, 0, 50 * MS) <= 12
