--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -239,7 +239,8 @@
 
     async def run(self) -> None:
         self.store.own()
-        self.identity = identity.begin(self.identity, self.config.state, self.config.name, self.store.salt)
+        self.identity = identity.begin(self.identity, self.config.state, self.config.name, self.store.salt,
+                                       self.store.durable)
         log.info("start %d of %s: %s", self.identity.starts, self.identity.id, self.start.value)
         if self.heritage is not None:
             await self.adopt_calls(self.heritage)
@@ -318,6 +319,7 @@
         if now - self.state_s > STATE_LOG_S:
             self.state_s = now
             self.log_state()
+        self.store.step()
         if self.life.phase is not Phase.SERVING and self.life.step(self.clock(), self.store.messages):
             log.info("phase: %s", self.tell_phase())
         old = self.clock() - OVERDUE_US
--- a/lemonshunt/net/identity.py
+++ b/lemonshunt/net/identity.py
@@ -16,6 +16,8 @@
 from enum import Enum
 from pathlib import Path
 
+from lemonshunt.net.files import sync_folder
+
 FILE = "identity"
 log = logging.getLogger("lemonshunt.identity")
 
@@ -37,12 +39,18 @@
     starts: int
     salt: int
 
-    def write(self, folder: Path) -> None:
-        """Put it in the old one's place. Raises OSError."""
+    def write(self, folder: Path, durable: bool = False) -> None:
+        """Put it in the old one's place, so that it outlasts a power cut if that is asked for. Raises OSError."""
         told = json.dumps(asdict(self), separators=(",", ":")).encode()
         spare = folder / f"{FILE}.new"
-        spare.write_bytes(b"%08x %s\n" % (zlib.crc32(told), told))
+        with spare.open("wb") as file:
+            file.write(b"%08x %s\n" % (zlib.crc32(told), told))
+            file.flush()
+            if durable:
+                os.fdatasync(file.fileno())
         os.replace(spare, folder / FILE)
+        if durable:
+            sync_folder(folder)
 
 
 def read(folder: Path) -> Identity | None:
@@ -66,16 +74,16 @@
         if found.name != name:
             raise Stranger(f"{folder} is the folder of {found.name}, not of {name}")
         return found, Start.AGAIN
-    used = (folder / "journal").exists() or (folder / FILE).exists()
+    used = (folder / FILE).exists() or any(folder.glob("journal*")) or any(folder.glob("snapshot*"))
     return None, Start.UNKNOWN if used else Start.FIRST
 
 
-def begin(found: Identity | None, folder: Path, name: str, salt: int) -> Identity:
+def begin(found: Identity | None, folder: Path, name: str, salt: int, durable: bool = False) -> Identity:
     """Count this start. A folder that cannot be written costs the count, and not the start."""
     made = replace(found, starts=found.starts + 1, salt=salt) if found is not None else Identity(
         name, secrets.token_hex(8), 1, salt)
     try:
-        made.write(folder)
+        made.write(folder, durable)
     except OSError as error:
         log.error("identity: cannot be written: %s", error)
     return made
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -1,12 +1,13 @@
 """The write-ahead journal in $LB_STATE: what was taken on, and how far it got, outlasts the process.
 
-The format, and what a loss means, are in lemonshunt/journal.py. A plain write is enough, since the files outlast the
-process without a sync. A file that is damaged is set aside, and what it still tells is written anew.
+The format, and what a loss means, are in lemonshunt/journal.py; the files in files.py. A plain write is enough, since
+they outlast the process without a sync. A file that is damaged is set aside, and what it still tells is written anew.
+Once the journal has grown enough, a snapshot is written beside it, in steps that do not hold the loop.
 Kinds of records, by the first item of the line:
   taken [id, class, destination, due, key, tenant, attempts, ran_at, ran_on, [[number, at, host]...]] + body,
         the class as a list of its fields
   attempt [id, number, at, host], before the call's first byte; outcome [id, number, may have run]
-  over [id]; ended [ids], those that were over when the file was written anew
+  over [id]; ended [ids], those that were over when the snapshot was written
   owed [id, state, after_ms, key], an end that the platform has not acknowledged; told [id]
   list {seq, hosts}: the last list, since `known` may be older than what this forwarder was told of drains
   names [hosts]: all that were ever listed; ban [host, since]: left out by operators, -1: not any more
@@ -17,24 +18,26 @@
 from __future__ import annotations
 
 import logging
-import os
 import secrets
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from lemonshunt import journal
 from lemonshunt.interface import Effect, MessageClass, Scope
+from lemonshunt.net.files import BLOCK, Files, Line
 
-BLOCK = 512
 SECOND = 1_000_000
 ROOM = 128 * 1024  # kept free for the small records that follow a message that was taken on
-LEAST_COMPACT = 256 * 1024  # below this size the file is left to grow
+LEAST_COMPACT = 256 * 1024  # below this size the files are left to grow
+STEP = 64 * 1024  # bytes of a snapshot that are written at once: under a millisecond
+MOST_FILES = 8  # what rounding them up to whole blocks may take
+PART = 1000  # ids or names in one record of a snapshot
 OUTAGE_KEPT_US = 3_600_000_000
 MOST_NAMES = 2000  # hosts remembered that were once listed
 MOST_ENDED = 8192  # ids remembered after their end: more than a minute's at full load
-MOST_ASIDE = 2  # damaged files kept, of earlier starts and this one
 PER_MESSAGE = 400  # what a held message's further records may add to a compacted file
 log = logging.getLogger("lemonshunt.store")
 
@@ -78,8 +81,7 @@
         """Reads the journal, and writes nothing. `salt` is what the folder's identity tells of it. Raises OSError
         where it cannot be read, and NewerFormat."""
         self.classes = classes or {}  # for journals that tell a class by its name only
-        self.path, self.spare = folder / "journal", folder / "journal.new"
-        self.most = most_bytes - 2 * BLOCK
+        self.files = Files(folder, most_bytes - MOST_FILES * BLOCK)
         self.messages: dict[str, Taken] = {}
         self.ended: dict[str, None] = {}  # the oldest first
         self.owed: dict[str, Owed] = {}
@@ -88,76 +90,59 @@
         self.names: dict[str, None] = {}  # all that were ever listed, those named longest ago first
         self.bans: dict[str, int] = {}
         self.seq = -1
-        self.live, self.size, self.list_size, self.ended_size = 0, 0, 0, 0
+        self.live, self.list_size, self.ended_size = 0, 0, 0
         self.failed, self.compactions = False, 0
-        self.durable = False
-        """What replaces the journal is synced before, and its folder after: set by a part."""
         self.pending: list[bytes] = []
-        self.fd = -1
         self.touched: set[str] = set()  # ids that later records tell of, whose message itself is lost
-        data = self.path.read_bytes() if self.path.exists() else b""
-        self.found = journal.scan(data, salt)
+        self.found = journal.assemble(self.files.names(), self.files.read, salt)
         known = salt if self.found.salt is None else self.found.salt
         self.salt: int = secrets.randbits(32) if known is None else known
-        self.number = self.found.records[-1].number if self.found.records else 0
-        self.aside = sum(_blocks(path) for path in self._set_aside())
-        self.records = len(self.found.records)
+        self.number = self.found.last.records[-1].number if self.found.last.records else 0
+        self.records = 0
         self.replay(self.found)
-        self.found.records.clear()  # their bodies would take memory as long as the process lives
 
-    def _set_aside(self) -> list[Path]:
-        """Damaged files that earlier starts have set aside, the oldest first."""
-        return sorted(self.path.parent.glob("journal.bad-*"), key=lambda path: path.stat().st_mtime_ns)
+    @property
+    def fd(self) -> int:
+        """The journal that is written to."""
+        return self.files.fd
+
+    @property
+    def size(self) -> int:
+        """Bytes that a start would read."""
+        return self.files.since()
+
+    @property
+    def aside(self) -> int:
+        """Bytes of damaged files that are kept for people."""
+        return self.files.aside
+
+    @property
+    def durable(self) -> bool:
+        """What replaces other files is synced before, and the folder after: set by a part."""
+        return self.files.durable
+
+    @durable.setter
+    def durable(self, to: bool) -> None:
+        self.files.durable = to
 
     def own(self) -> Store:
         """From here on the journal is written, by this process alone. Raises OSError."""
-        self.path.parent.mkdir(parents=True, exist_ok=True)
-        self.spare.unlink(missing_ok=True)
-        if self.found.damaged:
-            self._put_aside()
-        self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        if self.found.damaged or self.found.version < journal.VERSION:
-            self.size = 0 if self.found.damaged else self.size
-            if self.compact():
-                return self
-            if self.found.version < journal.VERSION:
-                raise OSError(f"{self.path} is of an older version, and cannot be written anew")
-        os.ftruncate(self.fd, self.size)
-        os.lseek(self.fd, self.size, os.SEEK_SET)
-        if not self.size:
-            self._write(self.fd, journal.header(self.salt))
-            self.size = journal.HEADER
-        if self.durable:
-            self._sync_folder()
+        self.files.own(self.found, self.salt)
+        if (self.found.damaged or self.found.version < journal.VERSION) and not self.compact() and (
+                self.found.version < journal.VERSION):
+            raise OSError(f"{self.files.folder} is of an older version, and cannot be written anew")
         return self
 
-    def _sync_folder(self) -> None:
-        """A name that was given outlasts a power cut only once its folder is synced."""
-        folder = os.open(self.path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
-
-    def _put_aside(self) -> None:
-        """Keep the damaged file for people; of earlier ones so many that their number stays bounded."""
-        old = self._set_aside()
-        for path in old[:max(0, len(old) - MOST_ASIDE + 1)]:
-            path.unlink(missing_ok=True)
-        taken = {path.name for path in old}
-        name = next(f"journal.bad-{n}" for n in range(1, len(taken) + 2) if f"journal.bad-{n}" not in taken)
-        os.replace(self.path, self.path.with_name(name))
-        self.aside = sum(_blocks(path) for path in self._set_aside())
-
     # Reading
 
-    def replay(self, found: journal.Scan) -> None:
+    def replay(self, found: journal.Found) -> None:
         """Take on all sound records. After a loss, what was held then is doubtful."""
         readers: dict[str, Callable[[list[Any], bytes], None]] = {
             "taken": self._taken, "attempt": self._attempt, "outcome": self._outcome, "over": self._over,
             "ended": self._ended, "owed": self._owed, "told": self._told, "list": self._list,
             "outage": self._outage, "names": self._names, "ban": self._ban}
-        for record in found.records:
+        for record in found.records():
+            self.records += 1
             if record.after_loss:
                 self._doubt()
             try:
@@ -174,7 +159,6 @@
             log.error("journal: %s", self.damage())
         elif found.torn:
             log.warning("journal: cut %d bytes of a torn tail", found.torn)
-        self.size = found.size
 
     def _doubt(self) -> None:
         for m in self.messages.values():
@@ -186,14 +170,17 @@
         if not found.damaged:
             return ""
         doubtful = sum(m.doubtful for m in self.messages.values())
-        return (f"damaged in {len(found.regions)} places, {sum(b - a for a, b in found.regions)} bytes; "
-                f"{found.missing} records are missing{', and more at its end' if found.tail_lost else ''}; "
+        return (f"damaged in {len(found.regions)} places, {sum(b - a for _, a, b in found.regions)} bytes; "
+                f"{found.missing} records are missing{f', {found.gaps} files' if found.gaps else ''}"
+                f"{', and more at its end' if found.tail_lost else ''}; "
                 f"{doubtful} messages are in doubt, {len(self.touched)} known by their id alone")
 
     def _taken(self, rest: list[Any], body: bytes) -> None:
         name, cls, destination, due, key, tenant, attempts, ran_at, ran_on, out = rest
         m = Taken(name, self._class(cls), destination, due, key, tenant, body, attempts, ran_at, ran_on,
                   {n: (at, host) for n, at, host in out})
+        if m.id in self.messages:  # a snapshot may have it too
+            self.live -= self.messages[m.id].size
         self.messages[m.id] = m
         self.live += m.size
 
@@ -226,7 +213,7 @@
         m = self.messages.pop(rest[0], None)
         if m is not None:
             self.live -= m.size
-            self._ended([[m.id]])
+        self._ended([[rest[0]]])  # a snapshot may have been written when it was over already
 
     def _ended(self, rest: list[Any], body: bytes = b"") -> None:
         """What is over must be known again: taken on a second time, it would be sent a second time."""
@@ -279,7 +266,7 @@
     def take(self, m: Taken) -> None:
         self.messages[m.id] = m
         self.live += m.size
-        self.pending.append(self._message(m))
+        self.pending.append(self._record(self._line(m), m.body))
 
     def attempt(self, m: Taken, number: int, at_us: int, host: str) -> None:
         m.out[number] = (at_us, host)
@@ -344,13 +331,13 @@
         self.number += 1
         return journal.record(self.salt, self.number, line, body)
 
-    def _message(self, m: Taken) -> bytes:
+    @staticmethod
+    def _line(m: Taken) -> Line:
         out = [[n, at, host] for n, (at, host) in m.out.items()]
         c = m.cls
         cls = [c.name, c.aim_us, c.deadline_us, c.effect.value, c.scope.value, c.window_us, c.in_order,
                c.worth, c.late_worth]
-        return self._record(("taken", m.id, cls, m.destination, m.due_us, m.key, m.tenant,
-                             m.attempts, m.ran_at_us, m.ran_on, out), m.body)
+        return ("taken", m.id, cls, m.destination, m.due_us, m.key, m.tenant, m.attempts, m.ran_at_us, m.ran_on, out)
 
     def knows(self, name: str) -> bool:
         """Whether a message of that id was taken on, be it over or not."""
@@ -360,73 +347,101 @@
         """Whether one more message of that size leaves room for a compacted file beside the old one."""
         others = 200 * len(self.owed) + self.ended_size + self.list_size + 100 * len(self.outages)
         others += 60 * (len(self.names) + len(self.bans))
-        return not self.failed and 2 * (self.live + more + PER_MESSAGE + others) + ROOM <= self.most - self.aside
+        return not self.failed and 2 * (self.live + more + PER_MESSAGE + others) + ROOM <= self.files.most - self.aside
 
     def flush(self) -> None:
-        """Write what was gathered. Compacts first where old and new together would come near the limit."""
-        if not self.pending:
-            return
-        data = b"".join(self.pending)
-        self.pending = []
-        after = self.size + len(data)
-        kept = self.live + self.ended_size
-        due = after > max(LEAST_COMPACT, 4 * kept) or after + kept + ROOM // 2 > self.most - self.aside
-        if (due or self.failed) and self.compact():
-            return
+        """Write what was gathered, and a little more of a snapshot that is being written."""
+        if self.pending:
+            data = b"".join(self.pending)
+            self.pending = []
+            if (self.failed or self._crowded(len(data))) and self._made_anew(len(data)):
+                return
+            try:
+                self.files.append(data)
+            except OSError as error:
+                # A full disk must not end the process: what is held is delivered, new work is refused.
+                log.error("journal: cannot write: %s", error)
+                self.files.abandon()
+                self.failed = True
+                return
+        self.step()
+
+    def step(self) -> None:
+        """Begin a snapshot where one is due, or write a little more of it."""
+        if self.files.writing is not None:
+            try:
+                self.compactions += self.files.step(STEP)
+            except OSError as error:
+                self._cannot(error)
+        elif not self.failed and self.size > max(LEAST_COMPACT, 4 * self._kept()):
+            self.begin_snapshot()
+
+    def begin_snapshot(self) -> None:
+        """Close the journal and begin the next generation, whose snapshot is written in steps from here on."""
+        last, self.pending = b"".join([*self.pending, self._record((journal.CLOSED,))]), []
         try:
-            self._write(self.fd, data)
-            self.size = after
+            self.files.begin(last, self.salt, self._contents())
+            self.number = 0
         except OSError as error:
-            # A full disk must not end the process: what is held is delivered, new work is refused.
-            log.error("journal: cannot write: %s", error)
-            os.ftruncate(self.fd, self.size)
-            os.lseek(self.fd, self.size, os.SEEK_SET)
-            self.failed = True
-
-    @staticmethod
-    def _write(fd: int, data: bytes) -> None:
-        view = memoryview(data)
-        while view:
-            view = view[os.write(fd, view):]
+            self._cannot(error)
+
+    def _cannot(self, error: OSError) -> None:
+        """Until all is written anew, the files may lack what memory has."""
+        log.error("journal: cannot compact: %s", error)
+        self.failed = True
+        with suppress(OSError):
+            self.files.abandon()
+
+    def _kept(self) -> int:
+        """Bytes of a snapshot, or nearly."""
+        return self.live + self.ended_size + self.list_size
+
+    def _crowded(self, more: int) -> bool:
+        """Whether so many bytes more, and a whole snapshot beside all files, would come near the limit."""
+        left = self._kept() - (self.files.writing.size if self.files.writing is not None else 0)
+        return self.files.used() + more + max(0, left) + ROOM // 2 > self.files.most
+
+    def _made_anew(self, more: int) -> bool:
+        """Make room: by what is older than the newest snapshot, by ending the one that is being written, by writing
+        all anew at once. Whether the last was done, which holds what was to be written too."""
+        if not self.failed:
+            try:
+                self.files.drop_older()
+                while self._crowded(more) and self.files.writing is not None:
+                    self.compactions += self.files.step(STEP)
+                    self.files.drop_older()
+            except OSError as error:
+                self._cannot(error)
+        return (self.failed or self._crowded(more)) and self.compact()
+
+    def _contents(self) -> Iterator[tuple[Line, bytes]]:
+        """All that a snapshot holds. It is asked for in steps, and what has ended meanwhile is left out."""
+        yield ("list", self.seq, [*self.hosts.values()]), b""
+        yield from ((("names", part), b"") for part in _parts(self.names))
+        yield from ((("ban", h, since), b"") for h, since in [*self.bans.items()])
+        yield from ((("outage", h, *o), b"") for h, o in [*self.outages.items()])
+        yield from ((("ended", part), b"") for part in _parts(self.ended))
+        yield from ((self._line(m), m.body) for m in [*self.messages.values()] if m.id in self.messages)
+        yield from ((("owed", name, *end), b"") for name, end in [*self.owed.items()] if name in self.owed)
 
     def compact(self) -> bool:
-        """Write what still counts into a new file, and put it in the old one's place."""
+        """Write all that counts anew, in one go, in place of all files; what waits to be written is in it."""
         before, self.number = self.number, 0
-        records = [journal.header(self.salt), self._record(("list", self.seq, [*self.hosts.values()]))]
-        records.append(self._record(("names", [*self.names])))
-        records += [self._record(("ban", h, since)) for h, since in self.bans.items()]
-        records += [self._record(("outage", h, *o)) for h, o in self.outages.items()]
-        records.append(self._record(("ended", [*self.ended])))
-        records += [self._message(m) for m in self.messages.values()]
-        records += [self._record(("owed", name, *end)) for name, end in self.owed.items()]
-        data = b"".join(records)
-        fd = -1
         try:
-            fd = os.open(self.spare, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
-            self._write(fd, data)
-            if self.durable:
-                os.fdatasync(fd)
-            os.replace(self.spare, self.path)
-            if self.durable:
-                self._sync_folder()
+            self.files.renew(self.salt, self._contents())
         except OSError as error:
-            log.error("journal: cannot compact: %s", error)
-            self.failed, self.number = True, before
-            if fd >= 0:
-                os.close(fd)
-            self.spare.unlink(missing_ok=True)
+            self._cannot(error)
+            self.number = before
             return False
-        os.close(self.fd)
-        self.fd, self.size, self.failed = fd, len(data), False
-        self.pending = []  # memory is ahead of the file, so the new file holds these too
+        self.failed, self.pending = False, []  # memory is ahead of the files, so the new ones hold these too
         self.compactions += 1
         return True
 
     def close(self) -> None:
         self.flush()
-        os.close(self.fd)
+        self.files.close()
 
 
-def _blocks(path: Path) -> int:
-    """What a file takes of the disk: every file counts in whole blocks."""
-    return -(-path.stat().st_size // BLOCK) * BLOCK
+def _parts(names: Iterable[str]) -> list[list[str]]:
+    every = [*names]
+    return [every[at:at + PART] for at in range(0, len(every), PART)]
--- a/lemonshunt/statecheck.py
+++ b/lemonshunt/statecheck.py
@@ -36,7 +36,9 @@
     told = {
         "verdict": "damaged" if status else "sound",
         "identity": "damaged" if broken_identity else None if known is None else asdict(known),
-        "version": found.version, "records": store.records, "torn_bytes": found.torn,
+        "version": found.version,
+        "files": [*found.scans], "bad": found.bad, "missing_files": found.gaps,
+        "records": store.records, "torn_bytes": found.torn,
         "damaged": [list(region) for region in found.regions], "missing_records": found.missing,
         "more_missing_at_end": found.tail_lost,
         "saved": {"messages": len(store.messages), "owed": len(store.owed), "ended": len(store.ended),
@@ -45,7 +47,7 @@
                  "never_sent_again": sorted(m.id for m in store.messages.values()
                                             if m.doubtful and not goes_on(m.cls)),
                  "known_by_id_alone": sorted(store.touched)},
-        "set_aside": sorted(path.name for path in folder.glob("journal.bad-*")),
+        "set_aside": sorted(path.name for path in folder.glob("*.bad-*")),
     }
     return status, told, store
 
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from lemonshunt.net import store as module
+from lemonshunt.net import files as module
 from lemonshunt.net.durable import Syncer
 from lemonshunt.net.store import Store
 from tests.sockets import OK, PATIENCE, Node, Peer, Platform, always
@@ -43,7 +43,7 @@
     def __getattr__(self, name: str) -> Any:
         real = getattr(os, name)
         play = {"open": self.open, "write": self.write, "replace": self.replace, "fdatasync": self.fdatasync,
-                "fsync": self.fsync, "ftruncate": os.ftruncate, "close": os.close}.get(name)
+                "fsync": self.fsync, "unlink": self.unlink, "ftruncate": os.ftruncate, "close": os.close}.get(name)
         if play is None:
             return real
 
@@ -73,9 +73,13 @@
         return os.write(fd, bytes(data)[:self.chance.randrange(1, len(data) + 1)])  # short writes are allowed
 
     def replace(self, old: Any, new: Any) -> None:
-        self.pending.append((Path(new).name, str(Path(old).stat().st_ino)))
+        self.pending += [(Path(new).name, str(Path(old).stat().st_ino)), (Path(old).name, "")]
         os.replace(old, new)
 
+    def unlink(self, path: Any) -> None:
+        os.unlink(path)
+        self.pending.append((Path(path).name, ""))
+
     def fdatasync(self, fd: int) -> None:
         with open(f"/proc/self/fd/{fd}", "rb") as file:
             self.contents[self.inode(fd)] = file.read()
@@ -92,6 +96,8 @@
         entries.update(self.pending[:self.chance.randrange(len(self.pending) + 1)])
         to.mkdir()
         for name, inode in entries.items():
+            if not inode:
+                continue  # it was given away, or removed
             synced = self.contents.get(inode, b"")
             rest = now.get(inode, synced)
             if rest[:len(synced)] != synced:
@@ -113,6 +119,8 @@
             store.over(f"m{n - 2}")
         if n % 20 == 13:
             store.compact()
+        if n % 20 in (3, 8) and store.files.writing is None:
+            store.begin_snapshot()
         store.flush()
         if chance.random() < 0.7:
             promised()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -20,6 +20,7 @@
 from lemonshunt import journal
 from lemonshunt.interface import Effect, MessageClass
 from lemonshunt.net import identity
+from lemonshunt.net import store as module
 from lemonshunt.net.store import Store, Taken
 from lemonshunt.statecheck import main as state
 from tests.sockets import OK, Node, Peer, Platform, always, hang
@@ -45,6 +46,8 @@
     store = Store(folder, MB, salt=1234).own()
     store.take(taken("old"))
     store.over("old")
+    store.take(taken("g", SAFE))
+    store.take(taken("h"))
     store.flush()
     assert store.compact()
     store.list(41, {"s1": {"host": "s1", "health": "up"}, "s2": {"host": "s2", "health": "up"}}, 10)
@@ -66,12 +69,15 @@
     return store
 
 
-TRUTH = {"a": "out", "b": "safe", "c": "held", "f": "held"}
+TRUTH = {"a": "out", "b": "safe", "c": "held", "f": "held", "g": "safe", "h": "held"}
 """What may be done with each message that is not over."""
 
 
-def reread(folder: Path, data: bytes) -> Store:
-    (folder / "journal").write_bytes(data)
+SNAPSHOT = "snapshot-2"
+
+
+def reread(folder: Path, data: bytes, name: str = "journal") -> Store:
+    (folder / name).write_bytes(data)
     return Store(folder, MB, salt=1234)
 
 
@@ -88,20 +94,32 @@
     assert set(back.owed) <= {"e"} and set(back.bans) <= {"s2"}
 
 
-def test_every_byte_changed_costs_no_more_than_the_record_it_is_in(tmp_path: Path) -> None:
+@pytest.mark.parametrize(("name", "kinds"), [
+    ("journal", {"list", "names", "taken", "attempt", "outcome", "over", "owed", "outage", "ban"}),
+    (SNAPSHOT, {"list", "ended", "taken", "sealed"})])
+def test_every_byte_changed_costs_no_more_than_the_record_it_is_in(tmp_path: Path, name: str, kinds: set[str]) -> None:
     whole = filled(tmp_path)
-    data = (tmp_path / "journal").read_bytes()
-    kinds = {r.line[0] for r in journal.scan(data).records}
-    assert kinds == {"list", "names", "ended", "taken", "attempt", "outcome", "over", "owed", "outage", "ban"}
+    data = (tmp_path / name).read_bytes()
+    assert {r.line[0] for r in journal.scan(data).records} == kinds
     chance = random.Random(1)
     for at in range(len(data)):
         spoilt = bytearray(data)
         spoilt[at] ^= 1 << chance.randrange(8)
-        back = reread(tmp_path, bytes(spoilt))
+        back = reread(tmp_path, bytes(spoilt), name)
         check(back, whole)
-        lost = back.found.missing + back.found.tail_lost
-        assert lost <= 1 and back.found.damaged, at
-        assert back.records >= len(whole.messages) and (lost or at < journal.HEADER)
+        lost = back.found.missing + back.found.scans[name].tail_lost
+        assert lost <= 1 and back.found.damaged and len(back.messages) >= len(whole.messages) - 1, at
+        assert lost or at < journal.HEADER or name == SNAPSHOT
+
+
+def test_every_cut_of_a_snapshot_without_another_leaves_what_is_whole_and_in_doubt(tmp_path: Path) -> None:
+    whole = filled(tmp_path)
+    data = (tmp_path / SNAPSHOT).read_bytes()
+    for size in range(len(data)):
+        back = reread(tmp_path, data[:size], SNAPSHOT)
+        check(back, whole)
+        assert back.found.damaged and back.messages.keys() >= {"a", "b", "c", "f"}
+        assert all(back.messages[name].doubtful for name in ("g", "h") if name in back.messages)
 
 
 def test_every_cut_costs_no_more_than_what_was_cut(tmp_path: Path) -> None:
@@ -113,7 +131,7 @@
         assert not found.damaged or size < journal.HEADER, size
         assert [r.number for r in found.records] == numbers[:len(found.records)]
         back = reread(tmp_path, data[:size]).own()
-        assert back.found.torn <= size and not back.found.records, "bodies kept for nothing"
+        assert back.found.torn <= size and not [*back.found.records()], "bodies kept for nothing"
         assert Store(tmp_path, MB, salt=1234).messages.keys() == back.messages.keys()
         os.close(back.fd)
     assert whole.messages
@@ -135,11 +153,14 @@
 @pytest.mark.parametrize("size", [16, 512])
 def test_blocks_that_are_changed_are_noticed_and_reading_goes_on(tmp_path: Path, how: str, size: int) -> None:
     whole = filled(tmp_path)
-    data = (tmp_path / "journal").read_bytes()
+    data, snapshot = (tmp_path / "journal").read_bytes(), (tmp_path / SNAPSHOT).read_bytes()
     for at in range(0, len(data) - size, 37):
         spoilt = BLOCKS[how](data, at, size, len(data) - size)
         if spoilt == data:
             continue
+        for path in tmp_path.iterdir():
+            path.unlink()
+        (tmp_path / SNAPSHOT).write_bytes(snapshot)
         back = reread(tmp_path, spoilt)
         check(back, whole)
         assert back.found.damaged or back.found.torn
@@ -147,8 +168,6 @@
             back = Store(tmp_path, MB, salt=1234).own()
             os.close(back.fd)
         assert not back.found.damaged
-        for path in tmp_path.glob("journal.bad-*"):
-            path.unlink()
 
 
 def test_a_damaged_file_is_set_aside_and_their_number_is_bounded(tmp_path: Path) -> None:
@@ -160,7 +179,7 @@
         (tmp_path / "journal").write_bytes(data)
         store = Store(tmp_path, MB).own()
         assert store.found.damaged and store.aside >= 512
-        kept = [path.read_bytes() for path in tmp_path.glob("journal.bad-*")]
+        kept = [path.read_bytes() for path in tmp_path.glob("*.bad-*")]
         assert bytes(data) in kept and len(kept) <= 2
         store.take(taken(f"n{n}", SAFE))
         store.close()
@@ -193,13 +212,13 @@
 
 def test_messages_known_by_later_records_alone_end_by_a_notice(tmp_path: Path) -> None:
     store = filled(tmp_path)
-    store.take(taken("g"))
-    store.attempt(store.messages["g"], 0, 70, "s1")
+    store.take(taken("z"))
+    store.attempt(store.messages["z"], 0, 70, "s1")
     store.flush()
     data = bytearray((tmp_path / "journal").read_bytes())
-    data[data.find(b'"taken","g"')] ^= 1
+    data[data.find(b'"taken","z"')] ^= 1
     back = reread(tmp_path, bytes(data))
-    assert back.touched == {"g"} and all(m.doubtful for m in back.messages.values())
+    assert back.touched == {"z"} and all(m.doubtful for m in back.messages.values())
     assert not journal.goes_on(ONCE) and journal.goes_on(SAFE)
 
 
@@ -215,27 +234,211 @@
     assert back.found.version == 1 and back.found.torn == 4 and not back.found.damaged
     for store in (back, Store(tmp_path, MB)):
         assert (list(store.owed), store.bans, store.outages) == (["m"], {"s1": 5}, {"s2": (7, -1)})
-    assert Store(tmp_path, MB).found.version == 2
+    assert Store(tmp_path, MB).found.version == 3
 
 
 def test_a_newer_journal_is_refused_and_left_as_it_is(tmp_path: Path) -> None:
-    head = journal.FILE_HEAD.pack(journal.MAGIC, 3, 0, 1)
+    head = journal.FILE_HEAD.pack(journal.MAGIC, 4, 0, 1)
     data = 2 * (head + journal.CHECK.pack(journal.zlib.crc32(head))) + b"what this may be"
     (tmp_path / "journal").write_bytes(data)
-    with pytest.raises(journal.NewerFormat, match="version 3"):
+    with pytest.raises(journal.NewerFormat, match="version 4"):
         Store(tmp_path, MB)
     assert (tmp_path / "journal").read_bytes() == data and state(["check", str(tmp_path)]) == 2
 
 
+# Generations
+
+
+def generations(folder: Path) -> Store:
+    """Two snapshots that count, with journals before, between and after them."""
+    store = Store(folder, MB, salt=1234).own()
+    for n in range(40):
+        store.take(taken(f"m{n}", ONCE if n % 2 else SAFE))
+        store.attempt(store.messages[f"m{n}"], 0, 50, "s1")
+        if n >= 5:
+            store.over(f"m{n - 5}")
+        if n in (10, 25):
+            store.begin_snapshot()
+        store.flush()
+    while store.files.writing is not None:
+        store.step()
+    return store
+
+
+def files(folder: Path) -> set[str]:
+    return {path.name for path in folder.iterdir()}
+
+
+def same(back: Store, whole: Store) -> bool:
+    return (back.messages, back.ended.keys(), back.owed, back.bans) == (
+        whole.messages, whole.ended.keys(), whole.owed, whole.bans) and back.live == whole.live
+
+
+def test_the_generation_before_is_kept_and_stands_in_for_a_bad_snapshot(tmp_path: Path) -> None:
+    whole = generations(tmp_path)
+    assert files(tmp_path) == {"snapshot-2", "journal-2", "snapshot-3", "journal"} and same(Store(tmp_path, MB), whole)
+    data = (tmp_path / "snapshot-3").read_bytes()
+    for at in range(0, len(data), 7):
+        spoilt = data[:at] + bytes([data[at] ^ 16]) + data[at + 1:]
+        back = reread(tmp_path, spoilt, "snapshot-3")
+        assert same(back, whole) and not any(m.doubtful for m in back.messages.values()), at
+        assert back.found.bad == ["snapshot-3"] and back.found.snapshot == 2
+    back.own()
+    assert files(tmp_path) == {"snapshot-4", "journal", "snapshot-3.bad-1"} and same(Store(tmp_path, MB), whole)
+
+
+@pytest.mark.parametrize(("lost", "doubt", "held"), [
+    ("snapshot-3", False, 5), ("journal-2", False, 5), ("snapshot-2", False, 5), ("journal", True, 5)])
+def test_each_file_that_is_gone(tmp_path: Path, lost: str, doubt: bool, held: int) -> None:
+    """What the newest snapshot makes needless is not missed; a journal since is noticed."""
+    whole = generations(tmp_path)
+    (tmp_path / lost).unlink()
+    back = Store(tmp_path, MB).own()
+    assert len(back.messages) == held and all(m.doubtful is doubt for m in back.messages.values())
+    assert back.found.gaps == doubt and (doubt or same(back, whole))
+
+
+def test_a_journal_that_was_set_back_is_told_from_one_that_is_being_replaced(tmp_path: Path) -> None:
+    store = Store(tmp_path, MB).own()
+    store.take(taken("a"))
+    store.flush()
+    old = (tmp_path / "journal").read_bytes()
+    assert store.compact()
+    for left, gaps in ((), 1), (("journal.new",), 0):
+        for name in left:
+            (tmp_path / name).touch()
+        back = reread(tmp_path, old)
+        assert (back.found.gaps, back.messages["a"].doubtful, back.found.generation) == (gaps, bool(gaps), 2)
+
+
+def test_a_closed_journal_that_is_cut_or_gone_makes_all_doubtful_that_was_held(tmp_path: Path) -> None:
+    whole = generations(tmp_path)
+    (tmp_path / "snapshot-3").unlink()
+    data = (tmp_path / "journal-2").read_bytes()
+    for size in (0, 30, 100, len(data) - 60, len(data) - 1):
+        back = reread(tmp_path, data[:size], "journal-2")
+        assert back.found.damaged and all(m.doubtful for m in back.messages.values() if m.id not in whole.messages)
+    (tmp_path / "journal-2").unlink()
+    assert Store(tmp_path, MB).found.gaps == 1
+
+
+def test_a_snapshot_is_written_in_steps_while_records_go_on(tmp_path: Path) -> None:
+    store = Store(tmp_path, 60 * MB).own()
+    for n in range(1500):
+        store.take(taken(f"m{n}", SAFE, b"x" * 3000))
+    store.flush()
+    store.begin_snapshot()
+    steps = 0
+    while store.files.writing is not None:
+        before = store.files.writing.size
+        store.take(taken(f"n{steps}", SAFE))
+        store.over(f"m{7 * steps}")
+        store.flush()
+        steps += 1
+        if store.files.writing is not None:
+            assert store.files.writing.size - before <= 2 * module.STEP
+        elif steps < 1500 // 7:
+            assert same(Store(tmp_path, 60 * MB), store)
+    assert steps > 100 and store.compactions == 1
+
+
+def test_within_the_limit_the_generation_before_goes_first_then_all_is_written_anew(tmp_path: Path) -> None:
+    limit, seen = 900_000, set[str]()
+    store = Store(tmp_path, limit).own()
+    for n in range(4000):
+        if store.has_room(600):
+            store.take(taken(f"m{n}", SAFE, b"x" * 200))
+        if len(store.messages) > (20 if n < 1500 else 400):
+            store.over(next(iter(store.messages)))
+        store.flush()
+        seen |= files(tmp_path)
+        assert sum(store.files._blocks(path) for path in tmp_path.iterdir()) <= limit, n
+    assert not store.failed and store.compactions > 3 and len(store.messages) > 200
+    assert same(Store(tmp_path, limit), store) and any(name.startswith("journal-") for name in seen)
+
+
+@pytest.mark.parametrize("call", ["open", "write", "replace", "unlink"])
+def test_a_failed_call_while_files_change_loses_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                                        call: str) -> None:
+    """The disk full, or an error, at each call of a snapshot, a switch and a compaction, one after the other."""
+    for at in range(1, 12):
+        folder = tmp_path / str(at)
+        store, left = Store(folder, MB, salt=9).own(), [at]
+        real = getattr(os, call)
+
+        def fails(*args: Any, real: Any = real, left: list[int] = left, **named: Any) -> Any:
+            left[0] -= 1
+            if left[0] == 0:
+                raise OSError(28, "no space left on device")
+            return real(*args, **named)
+        store.take(taken("a"))
+        store.flush()
+        monkeypatch.setattr(os, call, fails)
+        for n in range(6):
+            store.take(taken(f"b{n}"))
+            if n in (1, 3):
+                store.begin_snapshot()
+            if n == 5:
+                store.compact()
+            store.flush()
+        monkeypatch.setattr(os, call, real)
+        store.take(taken("c"))
+        store.flush()
+        back = Store(folder, MB)
+        assert back.messages.keys() == store.messages.keys() and not store.failed, at
+        assert not any(m.doubtful for m in back.messages.values())
+        store.close()
+
+
+@pytest.mark.parametrize("name", ["journal", "snapshot-3"])
+@pytest.mark.parametrize("how", ["link", "folder", "no rights to read"])
+def test_what_is_no_plain_file_is_not_read(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, name: str,
+                                           how: str) -> None:
+    """A snapshot has another to stand in for it; a journal has not, and the folder is left as it is."""
+    folder = tmp_path / "s"
+    folder.mkdir()
+    whole, path, real = generations(folder), folder / name, os.open
+    data = path.read_bytes()
+    if how == "link":
+        (tmp_path / "elsewhere").write_bytes(data)
+        path.unlink()
+        path.symlink_to(tmp_path / "elsewhere")
+    elif how == "folder":
+        path.unlink()
+        path.mkdir()
+    else:  # the tests may run as root, whom no rights stop
+
+        def refused(what: Any, *args: Any, **named: Any) -> int:
+            if Path(what) == path:
+                raise PermissionError(13, "Permission denied", str(what))
+            return real(what, *args, **named)
+        monkeypatch.setattr(os, "open", refused)
+    if name == "journal":
+        before = files(folder)
+        with pytest.raises(OSError):
+            Store(folder, MB)
+        assert files(folder) == before
+    else:
+        assert same(Store(folder, MB).own(), whole)
+        monkeypatch.undo()
+        assert same(Store(folder, MB), whole) and "snapshot-3.bad-1" in files(folder)
+
+
 NAMES = st.sampled_from(["m1", "m2", "m3", "m4"])
 STEPS = st.lists(st.tuples(st.sampled_from(["take", "attempt", "outcome", "over", "owe", "told", "ban", "crash",
-                                            "compact", "torn"]), NAMES), max_size=60)
+                                            "compact", "torn", "snapshot", "snapshot"]), NAMES), max_size=60)
 
 
 @profile(derandomize=True, max_examples=120, deadline=None)
 @given(STEPS, st.integers(0, 2**32 - 1))
 def test_the_store_is_a_plain_dictionary_that_survives_crashes(tmp_path_factory: pytest.TempPathFactory,
                                                                steps: list[tuple[str, str]], noise: int) -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(module, "STEP", 1)  # one record of a snapshot a round
+        survives(tmp_path_factory, steps, noise)
+
+
+def survives(tmp_path_factory: pytest.TempPathFactory, steps: list[tuple[str, str]], noise: int) -> None:
     folder = tmp_path_factory.mktemp("s")
     store = Store(folder, MB).own()
     model: dict[str, tuple[int, int]] = {}  # attempts, out
@@ -273,6 +476,8 @@
         elif what == "compact":
             store.flush()
             assert store.compact()
+        elif what == "snapshot" and store.files.writing is None:
+            store.begin_snapshot()
         store.flush()
         assert {n: (m.attempts, len(m.out)) for n, m in store.messages.items()} == model
         assert set(store.owed) == owed and set(store.bans) == bans and over <= set(store.ended)
