--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -116,7 +116,7 @@
         "choice.py", "        place.wait_until = max(place.wait_until, self.now + wait_us)\n", "", "wait",
         (Fault(at_s=1.5, kind="limit", share=1.0, times=0.25),)),
     "the message's record before its 202": (
-        "net/store.py", "        self.pending.append(self._message(m))\n", "", "lost", ()),
+        "net/store.py", "        self.pending.append(self._record(self._line(m), m.body))\n", "", "lost", ()),
 }
 
 
