Keep a forwarder's share over a restart by a lease instead of halving it at once

Change: a forwarder has its whole base until others may have taken it: for settle_s less the longest detection from when it last proved to be there (more than half with it for the longest detection and told_s). The end outlasts a restart in a file of its own, on the machine's clock since boot; a lost, damaged or foreign file is no lease. Holders' turns to cold endpoints are divided once it has proved to be there, no longer after settle_s. settle_s is by default 3 detections and told_s, so that a restart proves itself within its lease. Option not chosen: asking each for a word that it holds nothing: N datagrams a restart.

--- a/lemonshunt/fleet.py
+++ b/lemonshunt/fleet.py
@@ -4,18 +4,18 @@
 shares is at most the whole. N is the most that can be up, by the settings or the view, whichever is more. Each has a
 base of 1/N.
 
-- A forwarder that has not more than half of N with it, or hears nobody, takes half of its base, at once; and so it does
-  until it has had more than half with it for `settle_us`, the longest that others may still believe otherwise.
-- One that has more than half with it takes, beside its base, its part of all the bases of those that have left by their
-  own word, and of half the bases of those that are gone; but only of those that have been so for `settle_us`, and not
-  on the word of one that left longer ago than `believe_us`.
+- More than half of N may take, beside their own bases, all the bases of those that have left by their own word (no
+  longer ago than `believe_us`) and half the bases of those that are gone: only once that has been so, and they have
+  been more than half, unbroken for `settle_us`.
+- So a forwarder has its base as long as nobody can have taken it: for `settle_us` less `detect_us` (the longest that a
+  cut goes unnoticed) from when it was last sure that all who could take it knew it to be there; that is when it has had
+  more than half with it for `detect_us` and `told_us`. This lease outlasts a restart. Without it: half of its base.
 - Where all that are not there have left by their own word, those that are there go on as if they were more than half.
 
-Only one side of a cut has more than half: its m members take m/N, the n that are gone n/2N at most, and half of the
-bases of those n is what the m may take beside their own: together the whole. Who bridges a cut is heard through
-(indirect probes), so two sides do not both count one member. Slack: until a cut is noticed all have their bases, no
-more. Who left and is back where it cannot be heard: its base, and half the bases of those that believe so, for
-`believe_us` at most.
+Only one side of a cut has more than half: its m members take m/N, the n that are gone n/2N once their leases are over,
+and half of the bases of those n is what the m may take beside their own: together the whole. Who bridges a cut is heard
+through (indirect probes), so two sides do not both count one member. Slack: who left and is back where it cannot be
+heard: its base, and half the bases of those that believe so, for `believe_us` at most.
 
 Option not chosen: a leader that hands out shares, or a quorum that agrees on them. While cut off, a side without it
 could call nothing at all, or would need leases as long as the detection takes, renewed by all every few seconds.
@@ -25,12 +25,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 
 from lemonshunt import interface as i
 from lemonshunt.choice import FAIL_MARK, SURE_MARK, Dispatcher
-from lemonshunt.interface import Outcome
-from lemonshunt.members.words import Asked, Heard, Seen, TellHolding, TellOutage, TellWait, Viewed
+from lemonshunt.members.words import Asked, Heard, Mode, Seen, TellHolding, TellOutage, TellWait, Viewed
 from lemonshunt.state import Target
 
 SECOND = 1_000_000
@@ -40,13 +38,6 @@
 LINGER_US = 2 * SECOND  # one that held some so lately still counts as holding
 
 
-class Mode(Enum):
-    AGREED = "agreed"  # all that can be up are there, or have left by their own word
-    UNSURE = "unsure"  # more than half are there
-    CUT_OFF = "cut off"  # not more than half are
-    ALONE = "alone"  # nobody is heard
-
-
 @dataclass(slots=True)
 class Shares:
     """Follows the view. `size` is what to divide by; it grows at once, and falls only when that is sure."""
@@ -54,6 +45,9 @@
     balancers: int
     settle_us: int
     believe_us: int
+    detect_us: int
+    told_us: int
+    leased_until: int = 0  # by then others may have taken this forwarder's base; at the start, of its life before
     seen: Seen = field(default_factory=lambda: Seen(frozenset(), stale=True))
     known: set[str] = field(default_factory=set)  # all that were ever there
     since: dict[str, int] = field(default_factory=dict)  # since when those not there are gone or left, unbroken
@@ -73,6 +67,10 @@
             self.quorum_at = -1
         elif self.quorum_at < 0:
             self.quorum_at = now
+        if self.proved(now):
+            self.leased_until = now + self.settle_us - self.detect_us
+        elif seen.rival:
+            self.leased_until = 0
 
     def _left(self, now: int) -> frozenset[str]:
         """Those that have left by a word that is not too old."""
@@ -89,16 +87,18 @@
             return Mode.CUT_OFF
         return Mode.AGREED if len(self.seen.there | self._left(now)) >= self.most else Mode.UNSURE
 
-    def sure(self, now: int) -> bool:
-        """Whether more than half have been there for long enough that others know it too."""
-        return not self._cut_off(now) and 0 <= self.quorum_at <= now - self.settle_us
+    def proved(self, now: int) -> bool:
+        """Whether more than half have been there for so long that all who could take this one's base know of it."""
+        return not self._cut_off(now) and 0 <= self.quorum_at <= now - self.detect_us - self.told_us
 
     def size(self, now: int) -> float:
         """What to divide by: 1 over this forwarder's share."""
         if self.most <= 1:
             return 1.0
-        if not self.sure(now):
+        if now >= self.leased_until:
             return 2.0 * self.most
+        if self._cut_off(now) or not 0 <= self.quorum_at <= now - self.settle_us:
+            return float(self.most)
         settled = {name for name, at in self.since.items() if now - at >= self.settle_us}
         left = len(settled & self._left(now))
         gone = len(settled - self.seen.left)
@@ -113,8 +113,7 @@
         """When the size may change without any news; never, if that is far off."""
         ends = [since + wait for name, since in self.since.items()
                 for wait in (self.settle_us, self.believe_us + 1 if name in self.seen.left else 0)]
-        if self.quorum_at >= 0:
-            ends.append(self.quorum_at + self.settle_us)
+        ends += [self.leased_until, self.quorum_at + self.settle_us, self.quorum_at + self.detect_us + self.told_us]
         return min((end for end in ends if end > now), default=now + 3600 * SECOND)
 
 
@@ -142,8 +141,8 @@
     """Who calls a cold target how often. Half of its budget is divided by all that can be up, as ever; the other half
     among those that hold messages for it, or the first of them by rendezvous hashing where they are many, and that have
     said so for `told_us`, in which all that can hear it have heard it. So any two that use it know of each other, and
-    its parts add up to that half. One that is not sure of more than half being there has half of an even part, which is
-    as much as it has of the first half. Slack: until a cut is noticed, each part of the fleet may use that half."""
+    its parts add up to that half. One that has not proved to be there has nothing of it. Slack: until a cut is noticed,
+    each part of the fleet may use that half."""
 
     me: str
     told_us: int
@@ -187,11 +186,11 @@
                     place.pace_at = max(place.pace_at, min(until, d.now + int(d.interval(place))))
             self.heed()
 
-    def noticed(self, target: int, outcome: Outcome) -> None:
+    def noticed(self, target: int, outcome: i.Outcome) -> None:
         if outcome not in i.TELLS_NOTHING:
             self.touched.add(target)
             self.by_word.discard(target)
-        if outcome is Outcome.DELIVERED:
+        if outcome is i.Outcome.DELIVERED:
             self.well[target] = self.dispatcher.now
 
     def heed(self) -> None:
@@ -228,7 +227,7 @@
 
     def prepare(self) -> None:
         super().prepare()
-        d, now, sure = self.dispatcher, self.dispatcher.now, self.shares.sure(self.dispatcher.now)
+        d, now, most = self.dispatcher, self.dispatcher.now, self.shares.most
         cold = [t for t in d.targets.values() if d.cold(t)]
         self.held_at.update({t.id: now for t in cold if t.out or t.destination in d.held.piles})
         before = self.turns.since.keys()
@@ -236,7 +235,7 @@
         if before != self.turns.since.keys():
             d.actions.append(TellHolding(frozenset(self.turns.since)))
         for t in cold:
-            t.crowd = 1 / self.turns.share(now, t.id, self.shares.most, self.heard) if sure else 0.0
+            t.crowd = 1 / self.turns.share(now, t.id, most, self.heard) if self.shares.proved(now) else 2.0 * most
 
     def decide(self) -> None:
         """What this forwarder has seen itself is told."""
--- a/lemonshunt/members/words.py
+++ b/lemonshunt/members/words.py
@@ -6,10 +6,20 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from lemonshunt import interface as i
 
 
+class Mode(Enum):
+    """How sure a forwarder is of who is up."""
+
+    AGREED = "agreed"  # all that can be up are there, or have left by their own word
+    UNSURE = "unsure"  # more than half are there
+    CUT_OFF = "cut off"  # not more than half are
+    ALONE = "alone"  # nobody is heard
+
+
 @dataclass(frozen=True, slots=True)
 class Seen:
     """What membership tells: who is there, this forwarder among them, and who has left by its own word."""
@@ -18,6 +28,8 @@
     left: frozenset[str] = frozenset()
     stale: bool = False
     """Nobody has answered since the start, or since the process stood still."""
+    rival: bool = False
+    """Another process has this forwarder's name, and goes on under it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonshunt/net/members.py
+++ b/lemonshunt/net/members.py
@@ -24,6 +24,7 @@
 from lemonshunt.net.config import Address, Config, ConfigError, address
 from lemonshunt.net.control import Calls, Refused, alone
 from lemonshunt.net.engine import Engine, QuietPart
+from lemonshunt.net.lease import Lease
 from lemonshunt.net.news import News
 from lemonshunt.parts import Table
 from lemonshunt.phase import Phase as Start
@@ -55,6 +56,8 @@
     """Shares follow who is there."""
     settle_us: int
     believe_us: int
+    detect_us: int
+    """The longest that a cut, or a death, goes unnoticed."""
     news: bool
     """What others have seen of endpoints is heeded."""
     told_us: int
@@ -88,13 +91,16 @@
     divide, news = (table.truth(key, False) for key in ("divide", "news"))
     if news and not divide:
         raise table.wrong("news", "needs divide = true: what others have seen is heeded by who is there")
-    settle = table.number("settle_s", 2 * detected, detected, 3600.0)
     spread = 2 * math.log2(config.settings.balancers + 1)
+    told = table.number("told_s", period * spread, period, 3600.0)
+    # After a restart there is time to be noticed, to hear of all, and for all to hear, before a lease of before ends.
+    settle = table.number("settle_s", 3 * detected + told, detected, 3600.0)
+    if told > settle:
+        raise table.wrong("told_s", f"is {told}, more than settle_s, {settle}")
     believe = table.number("believe_s", 10 * settle, settle, 86400.0)
     made = Settings(listen, advertise, cluster, Path(seeds) if isinstance(seeds, str) else addresses(table, seeds),
                     Path(str(table.take("key_file", None))), timing, divide, int(settle * SECOND),
-                    int(believe * SECOND), news,
-                    int(table.number("told_s", period * spread, period, settle) * SECOND),
+                    int(believe * SECOND), int(detected * SECOND), news, int(told * SECOND),
                     int(table.number("ask_s", 5 * period, period, 60.0) * SECOND))
     keys(made.key_file)
     seeds_of(made)
@@ -181,13 +187,17 @@
         self.viewed: Seen | None = None
         self.view_s = 0.0
         self.shares: Shares | None = None
+        self.lease: Lease | None = None
         self.news: News | None = None
         if settings.divide:
             self.follow_view(engine)
 
     def follow_view(self, engine: Engine) -> None:
         """The Dispatcher divides what all share by who is there."""
-        self.shares = Shares(engine.config.settings.balancers, self.settings.settle_us, self.settings.believe_us)
+        s = self.settings
+        self.lease = Lease(engine.config.state, engine.clock)
+        self.shares = Shares(engine.config.settings.balancers, s.settle_us, s.believe_us, s.detect_us, s.told_us,
+                             self.lease.read(s.settle_us - s.detect_us))
         if self.settings.news:
             self.news = News(engine, self.shares, self.settings.told_us, self.settings.ask_us)
         else:
@@ -197,7 +207,7 @@
         assert self.protocol is not None
         view, gone = self.protocol.view, self.protocol.yielded
         left = frozenset(view.others(State.LEFT))
-        return Seen(frozenset(view.there()), left, self.protocol.stale or gone)
+        return Seen(frozenset(view.there()), left, self.protocol.stale or gone, gone)
 
     @property
     def calls(self) -> Calls:
@@ -216,6 +226,8 @@
         return self.news.tell(self.now())
 
     def act(self, actions: Iterable[i.Action]) -> None:
+        if self.shares is not None and self.lease is not None:
+            self.lease.keep(self.shares.leased_until)
         if self.news is not None and self.protocol is not None:
             self.news.act(self.now(), actions)
             if self.protocol.out:
@@ -421,6 +433,8 @@
     back = f"; {len(shares.since)} not there, shares may change in {(shares.next_at(now) - now) / SECOND:.1f} s" if (
         shares.since or now - shares.quorum_at < shares.settle_us) else ""
     held = f"; {1 - shares.balancers / size:.0%} of its share held back" if size > shares.balancers else ""
+    if size == shares.most and not shares.proved(now):  # nobody can have taken it yet
+        held += f"; its share is its own for {(shares.leased_until - now) / SECOND:.1f} s more"
     return (f"{shares.mode(now).value}: divides by {size:.1f} where the settings say {shares.balancers}, "
             f"confidence {shares.confidence(now):.2f}{held}{back}")
 
