Ask a whole fleet what held messages back, and count the needless seconds

No decision changes: booking is as before.

Tests: needless only where there was room all the time; six processes cut off from half of the endpoints, with a limit lowered, serve 0.7 of before again eight seconds after, and every second of theirs is in the table.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -1,4 +1,4 @@
-"""The command line: python -m lab run | list | compare | plot | way."""
+"""The command line: python -m lab run | list | compare | sweep | plot | gates | way."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 import click
 import msgspec
 
-from lab import plan, record, run, scenario
+from lab import gates, plan, record, run, scenario
 
 ROOT = Path(__file__).resolve().parent.parent
 HERE = Path(__file__).resolve().parent / "scenarios"
@@ -32,10 +32,10 @@
         bad(str(error))
 
 
-def played(told: plan.Plan, out: Path, program: Path, parts: Path | None) -> run.Result:
+def played(told: plan.Plan, out: Path, program: Path, parts: Path | None, ask_gates: bool = False) -> run.Result:
     try:
         text = None if parts is None else parts.read_text()
-        return run.play(told, out, program, text, lambda line: click.echo(line, err=True))
+        return run.play(told, out, program, text, lambda line: click.echo(line, err=True), ask_gates)
     except (run.LabError, OSError) as error:
         bad(str(error))
 
@@ -53,13 +53,14 @@
 @click.option("--program", type=click.Path(exists=True, file_okay=False, path_type=Path), default=ROOT,
               help="The checkout whose forwarders are started.")
 @click.option("--out", type=click.Path(path_type=Path), help="Where the result and the logs go.")
+@click.option("--gates", "ask_gates", is_flag=True, help="Ask all once a second what holds messages back.")
 def run_(path: Path, nodes: int | None, seed: int | None, parts: Path | None, program: Path,
-         out: Path | None) -> None:
+         out: Path | None, ask_gates: bool) -> None:
     """Play a scenario, judge it, and print the time to full service."""
     told = planned(path, nodes, seed)
     name = f"{told.scenario.name}-{len(told.nodes)}-{told.scenario.seed}-{time.strftime('%H%M%S')}"
     out = out or Path("lab-out") / name
-    result = played(told, out, program.resolve(), parts)
+    result = played(told, out, program.resolve(), parts, ask_gates)
     for line in report(result):
         click.echo(line)
     click.echo(f"written to {out}")
@@ -192,6 +193,22 @@
     click.echo(f"written to {page(folder)}")
 
 
+@cli.command("gates")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@click.option("--step", "step_s", type=click.FloatRange(1.0, 60.0), default=5.0, help="Seconds of one column.")
+def gates_(folder: Path, step_s: float) -> None:
+    """What held messages back in a run with --gates, as a table and as gates.png; a column with a fault has a star."""
+    try:
+        found = gates.rows(gates.load(folder))
+    except OSError as error:
+        bad(f"{error}: was it run with --gates?")
+    marks = [(e.at_s, e.kind) for e in record.read(folder / "events.jsonl") if e.kind in ("fault", "healed")]
+    for line in gates.table(found, step_s, [at for at, kind in marks if kind == "fault"]):
+        click.echo(line)
+    if found:
+        gates.plot(found, marks, folder / "gates.png")
+
+
 @cli.command()
 @click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
 @click.argument("ident")
--- a/lab/model.py
+++ b/lab/model.py
@@ -37,10 +37,15 @@
     def room(self) -> float:
         return max(1.0, self.rate * BURST_S)
 
-    def take(self, now_s: float) -> bool:
-        """Whether one more call is within the limit."""
+    def left(self, now_s: float) -> float:
+        """Calls that it would let through at once."""
         self.tokens = min(self.room, self.tokens + max(0.0, now_s - self.at_s) * self.rate)
         self.at_s = now_s
+        return self.tokens
+
+    def take(self, now_s: float) -> bool:
+        """Whether one more call is within the limit."""
+        self.left(now_s)
         if now_s - self.told_s >= TELL_S:
             self.told, self.told_s = self.tokens / self.room, now_s
         if self.tokens < 1.0:
--- a/lab/run.py
+++ b/lab/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import compileall
+import contextlib
 import random
 import resource
 import shutil
@@ -17,10 +18,11 @@
 
 import msgspec
 
-from lab import figures, record
+from lab import figures, gates, record
 from lab.clients import Clients, Front
 from lab.discovery import Discovery
 from lab.endpoints import Site
+from lab.gates import Looks, Room
 from lab.judge import Finding, Judge
 from lab.launcher import Launcher
 from lab.model import Shop, Station
@@ -33,6 +35,7 @@
 START_S = 90.0
 TICK_S = 0.01
 SAMPLE_S = 1.0
+ROOM_S = 0.1
 REPORT_S = 5.0
 REMOVED_S = 3.0
 """A drained endpoint leaves the list after this, and goes as long after that."""
@@ -125,6 +128,8 @@
         self.exchange: Exchange | None = None
         self.samples: list[Sample] = []
         self.lateness: list[tuple[float, float]] = []
+        self.gates: Looks | None = None
+        """What held messages back, if that is to be asked."""
         self.tasks: list[asyncio.Task[None]] = []
 
     # Setting up
@@ -224,6 +229,8 @@
         self.discovery.limit.at_s = 0.0
         s = self.plan.scenario
         self.tasks = [self.loop.create_task(work) for work in (self.watch_lateness(), self.sample(), self.tell())]
+        if self.gates is not None:
+            self.tasks.append(self.loop.create_task(self.ask_gates()))
         faults = [self.loop.create_task(self.schedule(act)) for act in self.plan.acts]
         copies = [self.loop.create_task(self.copy(act)) for act in self.plan.acts if act.fault.folder == "old"]
         await self.clients.drive()
@@ -415,6 +422,33 @@
                     self.samples.append(found)
                 await asyncio.sleep(SAMPLE_S / len(self.nodes))
 
+    def with_room(self) -> list[int]:
+        """Destinations that could take a call at once: within the limit, and an endpoint that is up, warm and free."""
+        now = self.record.clock()
+        free = {site.station.told.destination for site in self.sites.values()
+                if not site.station.down and not site.station.cold(now) and site.station.busy < site.station.slots}
+        return sorted(number for number in free
+                      if (limit := self.shops[number].limit) is None or limit.left(now) >= limit.room / 2)
+
+    async def ask_gates(self) -> None:
+        """Each forwarder once a second, one after the other; the stand-ins ten times as often."""
+        assert self.gates is not None
+        asked_s = 0.0
+        while True:
+            await asyncio.sleep(ROOM_S)
+            self.gates.rooms.append(Room(self.record.clock(), self.with_room()))
+            if self.record.clock() - asked_s >= SAMPLE_S:
+                asked_s = self.record.clock()
+                for node in [node for node in self.nodes.values() if node.process is not None]:
+                    await self.ask_gate(node)
+
+    async def ask_gate(self, node: Node) -> None:
+        with contextlib.suppress(OSError):  # it is being struck
+            start, said = node.starts, await node.call("WHY json")
+            found = gates.look(self.record.clock(), node.name, start, said)
+            if found is not None and self.gates is not None:
+                self.gates.looks.append(found)
+
     async def tell(self) -> None:
         while True:
             await asyncio.sleep(REPORT_S)
@@ -505,12 +539,13 @@
 
 
 async def run(plan: Plan, out: Path, program: Path, parts: str | None = None,
-              say: Callable[[str], None] = lambda text: None) -> tuple[Result, Lab]:
+              say: Callable[[str], None] = lambda text: None, ask_gates: bool = False) -> tuple[Result, Lab]:
     """Play one scenario. Whatever happens, every process that it started is ended. Raises LabError."""
     if (out / "nodes").exists():
         shutil.rmtree(out / "nodes")
     (out / "nodes").mkdir(parents=True)
     lab = Lab(plan, out, program, parts, say)
+    lab.gates = Looks() if ask_gates else None
     loop = asyncio.get_running_loop()
     task = asyncio.current_task()
     assert task is not None
@@ -529,10 +564,12 @@
     (out / "result.json").write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1))
     record.write(lab.record.events, out / "events.jsonl")
     (out / "samples.json").write_bytes(msgspec.json.encode(lab.samples))
+    if lab.gates is not None:
+        (out / gates.FILE).write_bytes(msgspec.json.encode(lab.gates))
     return result, lab
 
 
 def play(plan: Plan, out: Path, program: Path, parts: str | None = None,
-         say: Callable[[str], None] = lambda text: print(text, file=sys.stderr)) -> Result:
+         say: Callable[[str], None] = lambda text: print(text, file=sys.stderr), ask_gates: bool = False) -> Result:
     """As `run`, from where there is no loop yet."""
-    return asyncio.run(run(plan, out, program, parts, say))[0]
+    return asyncio.run(run(plan, out, program, parts, say, ask_gates))[0]
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import json
 import logging
 import os
 import random
@@ -46,6 +47,7 @@
 OLD_CONTROL_S = 10.0  # after an upgrade calls are answered at the old control address too
 STATE_LOG_S = 5.0  # between two lines that tell how the forwarder stands
 MOST_TARGETS = 2000  # targets remembered at most, those that are gone among them
+MOST_REFUSED_BY = 1000  # destinations, classes and gates of refusals that are counted apart
 OVERDUE_US = 120_000  # past its time by so much, a message without an end is ended by the engine itself
 SECOND = 1_000_000
 log = logging.getLogger("lemonshunt.engine")
@@ -188,6 +190,7 @@
         self.frozen = self.closed = False
         self.full_us = self.refused_us = -FULL_LOG_US
         self.refused = 0
+        self.refused_by: dict[tuple[int, str, str], int] = {}
         self.leaving_s, self.lag_s = 0.0, -LAG_LOG_S
         self.rounds, self.state_s = 0, time.monotonic()
         self.done = asyncio.Event()
@@ -524,9 +527,13 @@
     def log_refused(self, a: i.Refuse) -> None:
         """A line with the reason, one a second at most; it tells how many had none."""
         self.refused += 1
+        m = self.store.messages[a.message]
+        key = (m.destination, m.cls.name, a.why.value if a.why else "nothing")
+        if key in self.refused_by or len(self.refused_by) < MOST_REFUSED_BY:
+            self.refused_by[key] = self.refused_by.get(key, 0) + 1
         if self.round_us - self.refused_us >= SECOND:
             log.info("refused: %s for destination %d, held by: %s; %d refused since the last such line", a.message,
-                     self.store.messages[a.message].destination, a.why.value if a.why else "nothing", self.refused)
+                     m.destination, key[2], self.refused)
             self.refused_us, self.refused = self.round_us, 0
 
     def turn_away(self, handed: Handed, door: Door, a: i.Refuse | i.Fail) -> None:
@@ -650,18 +657,32 @@
         try:
             if not rest:
                 rows = self.dispatcher.books.total()
+            elif rest == "json":
+                return self.gates_told()
             elif word == "dest":
                 rows = self.dispatcher.books.total(int(value))
             elif word == "id":
                 rows = self.dispatcher.why(value)
             else:
-                raise Refused("WHY stands alone, or with dest=N or id=X")
+                raise Refused("WHY stands alone, or with json, dest=N or id=X")
         except ValueError:
             raise Refused("a destination is a number") from None
         except KeyError:
             raise Refused("no message of that id is held") from None
         return "; ".join(f"{gate.value} {us / SECOND:.3f} s" for gate, us in rows) or "nothing was held"
 
+    def gates_told(self) -> str:
+        """`WHY json`: rows of destination, class, gate and microseconds held since the start, what is held now among
+        them; and of destination, class, gate and messages that were refused by it."""
+        held = {(*whose, gate): us for whose, book in self.dispatcher.books.sums.items() for gate, us in book.items()}
+        now = self.clock()
+        for m in self.dispatcher.messages.values():
+            if m.gate is not None:
+                key = (m.destination, m.cls.name, m.gate)
+                held[key] = held.get(key, 0) + now - m.gate_at
+        return json.dumps({"held": [[d, cls, gate.value, us] for (d, cls, gate), us in held.items()],
+                           "refused": [[*key, n] for key, n in self.refused_by.items()]}, separators=(",", ":"))
+
     def carry_out(self, event: i.Event) -> None:
         """What operators ask for is journaled and done before they hear of it."""
         self.store.flush()
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -189,32 +189,33 @@
 
 
 MOST_BOOKED = 256
-"""Destinations with a book of their own; what others were held for is booked under OTHERS."""
+"""Destinations and classes with a book of their own; what others were held for is booked under OTHERS."""
 OTHERS = -1
 
 
 @dataclass(slots=True)
 class Books:
-    """How long messages were held by which gate, for each destination, in microseconds since the start."""
+    """How long messages were held by which gate, by destination and class, in microseconds since the start."""
 
-    sums: dict[int, dict[Gate, int]] = field(default_factory=dict)
+    sums: dict[tuple[int, str], dict[Gate, int]] = field(default_factory=dict)
 
     def turn(self, m: Message, gate: Gate | None, now: int) -> None:
         """From now on this gate holds the message (None: none does); the time until now is the one's before."""
         if m.gate is gate:
             return
         if m.gate is not None and now > m.gate_at:
-            whose = m.destination if m.destination in self.sums or len(self.sums) < MOST_BOOKED else OTHERS
-            book, passed = self.sums.setdefault(whose, {}), now - m.gate_at
+            whose, passed = (m.destination, m.cls.name), now - m.gate_at
+            if whose not in self.sums and len(self.sums) >= MOST_BOOKED:
+                whose = (OTHERS, "")
+            book = self.sums.setdefault(whose, {})
             book[m.gate] = book.get(m.gate, 0) + passed
             m.waited[m.gate] = m.waited.get(m.gate, 0) + passed
         m.gate, m.gate_at = gate, now
 
     def total(self, destination: int | None = None) -> list[tuple[Gate, int]]:
         """The sums of one destination or of all, the largest first."""
-        books = self.sums.values() if destination is None else [self.sums.get(destination, {})]
         found: dict[Gate, int] = {}
-        for book in books:
-            for gate, us in book.items():
+        for (whose, _), book in self.sums.items():
+            for gate, us in book.items() if destination in (None, whose) else ():
                 found[gate] = found.get(gate, 0) + us
         return sorted(found.items(), key=lambda row: -row[1])
--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -188,7 +188,7 @@
     d.handle(0, [i.Listed(i.ListKind.SAVED, entries), *(i.Banned(n, 0) for n in range(1, 1000))])
     d.handle(0, [ask(f"m{n}", dest=n, due=3 * S) for n in range(1, 1000)])
     d.handle(3 * S, [i.TimerDue("look")])
-    assert not d.messages and len(d.books.sums) == MOST_BOOKED + 1 and d.books.sums[OTHERS][Gate.BAN] > 0
+    assert not d.messages and len(d.books.sums) == MOST_BOOKED + 1 and d.books.sums[(OTHERS, "")][Gate.BAN] > 0
 
 
 def test_logs_of_a_fleet_are_added_up(tmp_path: Path) -> None:
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -13,9 +13,11 @@
 
 import msgspec
 import pytest
+from click.testing import CliRunner
 
-from lab import plan, run
-from lab.scenario import Fault, Fleet, Limits, Load, Scenario, Time
+from lab import figures, gates, plan, run
+from lab.__main__ import cli
+from lab.scenario import Endpoints, Fault, Fleet, Limits, Load, Scenario, Time
 from tests.sockets import ROOT
 
 SMALL = Fleet(nodes=6, endpoints=8, destinations=4)
@@ -27,8 +29,9 @@
                     limits=Limits(late_ms=2000.0), **more)
 
 
-def play(told: Scenario, out: Path, program: Path = ROOT, parts: str | None = None) -> tuple[run.Result, run.Lab]:
-    return asyncio.run(run.run(plan.make(told), out, program, parts))
+def play(told: Scenario, out: Path, program: Path = ROOT, parts: str | None = None,
+         ask_gates: bool = False) -> tuple[run.Result, run.Lab]:
+    return asyncio.run(run.run(plan.make(told), out, program, parts, ask_gates=ask_gates))
 
 
 def events(lab: run.Lab, kind: str) -> list[Any]:
@@ -78,6 +81,37 @@
     assert result.figures["cold_ratio"] <= 1.0 and result.figures["delivered"] > 0.6 * result.figures["asked"]
 
 
+def test_cut_off_from_half_of_the_endpoints_service_comes_back_and_what_held_is_known(tmp_path: Path) -> None:
+    told = scenario(Fault(at_s=5.0, kind="cut", between="endpoints", of=0.5, for_s=3.0),
+                    Fault(at_s=8.0, kind="limit", share=0.3, times=0.2, for_s=2.0), seed=2,
+                    time=Time(warm_s=2.0, load_s=22.0, drain_s=8.0), endpoints=Endpoints(warm_s=4.0))
+    result, lab = play(told, tmp_path, ask_gates=True)
+    assert result.findings == []
+    served = figures.Served(lab.record.events)
+    before, after = served.share(2.0, 5.0), served.share(16.0, 21.5)
+    assert before and after and after >= 0.7 * before, "eight seconds after it was healed"
+    rows = gates.rows(gates.load(tmp_path))
+    gate_of = {row.gate for row in rows}
+    assert gate_of & {"outage", "window", "pace by our share of the limit"} and {row.cls for row in rows} == {
+        "statusvarsel", "refusjon"}
+    assert sum(row.held_s for row in rows) > 1.0 and all(0 <= row.needless_s <= row.held_s for row in rows)
+    shown = CliRunner().invoke(cli, ["gates", str(tmp_path), "--step", "2"])
+    assert shown.exit_code == 0 and "of them needless" in shown.output
+    assert "*" in shown.output.splitlines()[0] and (tmp_path / "gates.png").stat().st_size > 10_000
+
+
+@pytest.mark.parametrize(("rooms", "needless"), [((True, True, True), 3.0), ((True, False, True), 0.0), ((), 0.0)])
+def test_seconds_are_needless_only_where_there_was_room_all_the_time(rooms: tuple[bool, ...], needless: float) -> None:
+    said = 'ok {"held":[[7,"refusjon","window",%d]],"refused":[[7,"refusjon","window",%d]]}'
+    looks = [gates.look(at, "n0", start, said % (us, n)) for at, start, us, n in (
+        (1.0, 1, 1_000_000, 2), (2.0, 1, 4_000_000, 5), (3.0, 2, 500_000, 1))]
+    found = gates.rows(gates.Looks([look for look in looks if look is not None], [
+        gates.Room(1.0 + n / 2, [7] if free else [8]) for n, free in enumerate(rooms)]))
+    assert [(row.held_s, row.refused) for row in found] == [(1.0, 2), (3.0, 3), (0.5, 1)], "a restart begins anew"
+    assert found[1].needless_s == needless and found[1].worth == 6.0
+    assert gates.look(1.0, "n0", 1, "fail not open") is None and gates.table([], 1.0) == ["nothing was held"]
+
+
 def test_kills_aimed_at_the_narrowest_moments_break_no_rule(tmp_path: Path) -> None:
     """Between a journal's write and the 202, a call's last byte and its answer, a notice and its 204; each twice."""
     aimed = [Fault(at_s=2.0 + 2.5 * again, kind="kill", names=(f"n{n}",), back_s=0.2, on=on, within_ms=within)
