Let the lab strike wall clocks, processor time and the front's evenness

Change: clock_s of a kill, the fault slow (stopped for a part of every 40 ms), front.first_share; scenarios jumps, starved, unequal. Result: six processes with clocks an hour back and forth and two of them at four tenths of their processor time, and six with full and unequal journals: no broken rule in the tests' plays.

--- a/lab/clients.py
+++ b/lab/clients.py
@@ -118,6 +118,9 @@
         self.chance = random.Random(f"{plan.scenario.seed}/front")
         uneven = random.Random(f"{plan.scenario.seed}/uneven")
         self.seen = {name: Seen(name, where[name], uneven.uniform(0.5, 1.5)) for name in plan.nodes}
+        first, *others = self.seen.values()
+        if self.settings.first_share is not None and others:
+            first.weight = sum(o.weight for o in others) * self.settings.first_share / (1 - self.settings.first_share)
         self.of_key: dict[str, Seen] = {}
         self.live: list[Seen] = []
         self.weights: list[float] = []
--- a/lab/run.py
+++ b/lab/run.py
@@ -36,6 +36,7 @@
 TICK_S = 0.01
 SAMPLE_S = 1.0
 ROOM_S = 0.1
+SLICE_S = 0.04
 REPORT_S = 5.0
 REMOVED_S = 3.0
 """A drained endpoint leaves the list after this, and goes as long after that."""
@@ -270,6 +271,7 @@
         node.spoil(f.folder, act.at_s, self.chance)
         if f.folder == "lost":
             self.clients.machine_lost(name)
+        node.skew_s += f.clock_s
         if f.back_s is None:
             node.wanted = False
             return
@@ -304,6 +306,20 @@
             self.nodes[name].signal(signal.SIGCONT)
             self.record.note("resumed", node=name)
 
+    async def play_slow(self, act: Act) -> None:
+        """Less processor time: each is stopped for a part of every so many milliseconds."""
+        share, end = act.fault.times or 1.0, self.loop.time() + (act.fault.for_s or 0.0)
+        try:
+            while self.loop.time() < end:
+                for sign, part in ((signal.SIGSTOP, 1 - share), (signal.SIGCONT, share)):
+                    for name in act.names:
+                        self.nodes[name].signal(sign)
+                    await asyncio.sleep(part * SLICE_S)
+        finally:
+            for name in act.names:
+                self.nodes[name].signal(signal.SIGCONT)
+        self.record.note("healed")
+
     async def play_full(self, act: Act) -> None:
         for name in act.names:
             self.nodes[name].fill_disk(True)
@@ -493,7 +509,7 @@
         if not result.counts_for:
             result.notes.append(f"the lab was {late[-1]:.0f} ms late, {s.limits.late_ms:.0f} allowed: "
                                 "this result does not count")
-        if s.fleet.skew_s:
+        if s.fleet.skew_s or any(fault.clock_s for fault in s.faults):
             result.notes.append("wall clocks are skewed by a launcher: the program is not started just as deployed")
         return result
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -65,6 +65,8 @@
     again_s: Span = (0.79, 2.0)
     connections: Count = 8
     """Kept to one forwarder, more when all are busy."""
+    first_share: Annotated[float, Meta(ge=0.0, le=0.9)] | None = None
+    """Of all messages, the first forwarder gets this share while all are up; its part by chance, if absent."""
 
 
 class Discovery(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -96,7 +98,7 @@
 
     at_s: Duration
     kind: Literal["kill", "term", "upgrade", "stop", "full", "cut", "outage", "limit", "drain", "replace", "discovery",
-                  "call", "datagrams"]
+                  "call", "datagrams", "slow"]
     share: Share | None = None
     """Of the forwarders (or the endpoints, for outage, limit, drain, replace)."""
     names: tuple[str, ...] = ()
@@ -110,6 +112,8 @@
     """And so long after it at most, by chance."""
     folder: Literal["kept", "lost", "old", "short", "byte", "block"] = "kept"
     old_s: Duration = 10.0
+    clock_s: Annotated[float, Meta(ge=-7200.0, le=7200.0)] = 0.0
+    """The forwarder's wall clock has jumped by this when it is started again."""
     waves: Count = 1
     every_s: Duration = 0.0
     between: Literal["endpoints", "discovery", "front", "nodes"] | None = None
@@ -126,7 +130,7 @@
     doubled: Share = 0.0
     swapped: Share = 0.0
     times: Positive | None = None
-    """A limit becomes so many times what it was; discovery's room likewise."""
+    """A limit becomes so many times what it was; discovery's room and a slowed forwarder's processor time likewise."""
     line: str | None = None
     silent: bool = False
     """An outage that says nothing, where others refuse connections."""
@@ -162,7 +166,7 @@
 
 NEEDS: dict[str, tuple[str, ...]] = {
     "stop": ("for_s",), "cut": ("between", "for_s"), "outage": ("for_s",), "limit": ("times",), "call": ("line",),
-    "discovery": ("for_s",), "datagrams": ("for_s",)}
+    "discovery": ("for_s",), "datagrams": ("for_s",), "slow": ("for_s", "times")}
 
 
 def load(path: Path, nodes: int | None = None, seed: int | None = None) -> Scenario:
@@ -205,6 +209,9 @@
             raise BadScenario(f"faults[{n}].at_s: after the load has ended")
         if fault.on is not None and fault.kind != "kill":
             raise BadScenario(f"faults[{n}].on: only for kill")
-        if fault.folder != "kept" and fault.kind not in ("kill", "term"):
-            raise BadScenario(f"faults[{n}].folder: only for kill and term")
+        for key in ("folder", "clock_s"):
+            if getattr(fault, key) not in ("kept", 0.0) and fault.kind not in ("kill", "term"):
+                raise BadScenario(f"faults[{n}].{key}: only for kill and term")
+        if fault.kind == "slow" and not 0.05 <= (fault.times or 0.0) < 1.0:
+            raise BadScenario(f"faults[{n}].times: for slow from 0.05 to under 1")
     return s
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -5,9 +5,11 @@
 
 import asyncio
 import os
+import re
 import shutil
 import subprocess
 import sys
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -17,7 +19,7 @@
 
 from lab import figures, gates, plan, run
 from lab.__main__ import cli
-from lab.scenario import Endpoints, Fault, Fleet, Limits, Load, Scenario, Time
+from lab.scenario import Endpoints, Fault, Fleet, Front, Limits, Load, Scenario, Time
 from tests.sockets import ROOT
 
 SMALL = Fleet(nodes=6, endpoints=8, destinations=4)
@@ -62,6 +64,10 @@
         Fault(at_s=2.5, kind="kill", share=0.7, back_s=0.3), Fault(at_s=2.6, kind="outage", names=("s-0",), for_s=2.0),
         Fault(at_s=5.0, kind="kill", share=0.7, back_s=0.3)),
     "a crash loop": tuple(Fault(at_s=2.0 + 1.2 * n, kind="kill", names=("n0", "n1"), back_s=0.2) for n in range(5)),
+    "wall clocks an hour back and forth, and two of them short of processor time": (
+        Fault(at_s=2.5, kind="kill", names=("n0", "n1", "n2"), back_s=0.3, clock_s=-3600.0),
+        Fault(at_s=2.6, kind="kill", names=("n3", "n4", "n5"), back_s=0.3, clock_s=3600.0),
+        Fault(at_s=3.6, kind="slow", names=("n0", "n3"), times=0.4, for_s=3.0)),
     "while it recovers: drained, banned, told to leave and to stop": (
         Fault(at_s=2.5, kind="kill", share=1.0, back_s=0.2), Fault(at_s=3.4, kind="drain", names=("s-5",)),
         Fault(at_s=3.6, kind="call", names=("n1",), line="OFFLINE s-1"),
@@ -81,6 +87,22 @@
     assert result.figures["cold_ratio"] <= 1.0 and result.figures["delivered"] > 0.6 * result.figures["asked"]
 
 
+def test_full_and_unequal_journals_come_back_in_order(tmp_path: Path) -> None:
+    """Every endpoint but a few is down, so that all that is taken on stays; one forwarder has a third of it; all are
+    killed, and what they hold goes out within the same bounds as new work."""
+    told = scenario(Fault(at_s=1.0, kind="outage", share=0.7, for_s=4.0), Fault(at_s=4.0, kind="kill", share=1.0,
+                                                                              back_s=0.3),
+                    fleet=Fleet(nodes=6, endpoints=8, destinations=4, max_open=20), front=Front(first_share=0.34),
+                    load=Load(per_node_s=8.0, once_share=0.7), time=Time(warm_s=2.0, load_s=12.0, drain_s=20.0), seed=4)
+    result, lab = play(told, tmp_path)
+    assert result.findings == [] and result.figures["cold_ratio"] <= 1.0
+    logs = "".join((node.root / "log").read_text() for node in lab.nodes.values())
+    took = [int(n) for n in re.findall(r"took up (\d+) messages", logs)]
+    assert len(took) == 6 and max(took) >= 14 >= 2 * min(took), "of 20, of which three are kept free"
+    handed = Counter(e.node for e in events(lab, "handed") if e.at_s < 4.0)
+    assert handed["n0"] > 0.2 * sum(handed.values())
+
+
 def test_cut_off_from_half_of_the_endpoints_service_comes_back_and_what_held_is_known(tmp_path: Path) -> None:
     told = scenario(Fault(at_s=5.0, kind="cut", between="endpoints", of=0.5, for_s=3.0),
                     Fault(at_s=8.0, kind="limit", share=0.3, times=0.2, for_s=2.0), seed=2,
