--- a/lab/run.py
+++ b/lab/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import compileall
+import contextlib
 import random
 import resource
 import shutil
@@ -17,10 +18,11 @@
 
 import msgspec
 
-from lab import figures, record
+from lab import figures, gates, record
 from lab.clients import Clients, Front
 from lab.discovery import Discovery
 from lab.endpoints import Site
+from lab.gates import Looks, Room
 from lab.judge import Finding, Judge
 from lab.launcher import Launcher
 from lab.model import Shop, Station
@@ -33,6 +35,8 @@
 START_S = 90.0
 TICK_S = 0.01
 SAMPLE_S = 1.0
+ROOM_S = 0.1
+SLICE_S = 0.04
 REPORT_S = 5.0
 REMOVED_S = 3.0
 """A drained endpoint leaves the list after this, and goes as long after that."""
@@ -125,6 +129,8 @@
         self.exchange: Exchange | None = None
         self.samples: list[Sample] = []
         self.lateness: list[tuple[float, float]] = []
+        self.gates: Looks | None = None
+        """What held messages back, if that is to be asked."""
         self.tasks: list[asyncio.Task[None]] = []
 
     # Setting up
@@ -224,6 +230,8 @@
         self.discovery.limit.at_s = 0.0
         s = self.plan.scenario
         self.tasks = [self.loop.create_task(work) for work in (self.watch_lateness(), self.sample(), self.tell())]
+        if self.gates is not None:
+            self.tasks.append(self.loop.create_task(self.ask_gates()))
         faults = [self.loop.create_task(self.schedule(act)) for act in self.plan.acts]
         copies = [self.loop.create_task(self.copy(act)) for act in self.plan.acts if act.fault.folder == "old"]
         await self.clients.drive()
@@ -263,6 +271,7 @@
         node.spoil(f.folder, act.at_s, self.chance)
         if f.folder == "lost":
             self.clients.machine_lost(name)
+        node.skew_s += f.clock_s
         if f.back_s is None:
             node.wanted = False
             return
@@ -297,6 +306,20 @@
             self.nodes[name].signal(signal.SIGCONT)
             self.record.note("resumed", node=name)
 
+    async def play_slow(self, act: Act) -> None:
+        """Less processor time: each is stopped for a part of every so many milliseconds."""
+        share, end = act.fault.times or 1.0, self.loop.time() + (act.fault.for_s or 0.0)
+        try:
+            while self.loop.time() < end:
+                for sign, part in ((signal.SIGSTOP, 1 - share), (signal.SIGCONT, share)):
+                    for name in act.names:
+                        self.nodes[name].signal(sign)
+                    await asyncio.sleep(part * SLICE_S)
+        finally:
+            for name in act.names:
+                self.nodes[name].signal(signal.SIGCONT)
+        self.record.note("healed")
+
     async def play_full(self, act: Act) -> None:
         for name in act.names:
             self.nodes[name].fill_disk(True)
@@ -415,6 +438,33 @@
                     self.samples.append(found)
                 await asyncio.sleep(SAMPLE_S / len(self.nodes))
 
+    def with_room(self) -> list[int]:
+        """Destinations that could take a call at once: within the limit, and an endpoint that is up, warm and free."""
+        now = self.record.clock()
+        free = {site.station.told.destination for site in self.sites.values()
+                if not site.station.down and not site.station.cold(now) and site.station.busy < site.station.slots}
+        return sorted(number for number in free
+                      if (limit := self.shops[number].limit) is None or limit.left(now) >= limit.room / 2)
+
+    async def ask_gates(self) -> None:
+        """Each forwarder once a second, one after the other; the stand-ins ten times as often."""
+        assert self.gates is not None
+        asked_s = 0.0
+        while True:
+            await asyncio.sleep(ROOM_S)
+            self.gates.rooms.append(Room(self.record.clock(), self.with_room()))
+            if self.record.clock() - asked_s >= SAMPLE_S:
+                asked_s = self.record.clock()
+                for node in [node for node in self.nodes.values() if node.process is not None]:
+                    await self.ask_gate(node)
+
+    async def ask_gate(self, node: Node) -> None:
+        with contextlib.suppress(OSError):  # it is being struck
+            start, said = node.starts, await node.call("WHY json")
+            found = gates.look(self.record.clock(), node.name, start, said)
+            if found is not None and self.gates is not None:
+                self.gates.looks.append(found)
+
     async def tell(self) -> None:
         while True:
             await asyncio.sleep(REPORT_S)
@@ -459,7 +509,7 @@
         if not result.counts_for:
             result.notes.append(f"the lab was {late[-1]:.0f} ms late, {s.limits.late_ms:.0f} allowed: "
                                 "this result does not count")
-        if s.fleet.skew_s:
+        if s.fleet.skew_s or any(fault.clock_s for fault in s.faults):
             result.notes.append("wall clocks are skewed by a launcher: the program is not started just as deployed")
         return result
 
@@ -505,12 +555,13 @@
 
 
 async def run(plan: Plan, out: Path, program: Path, parts: str | None = None,
-              say: Callable[[str], None] = lambda text: None) -> tuple[Result, Lab]:
+              say: Callable[[str], None] = lambda text: None, ask_gates: bool = False) -> tuple[Result, Lab]:
     """Play one scenario. Whatever happens, every process that it started is ended. Raises LabError."""
     if (out / "nodes").exists():
         shutil.rmtree(out / "nodes")
     (out / "nodes").mkdir(parents=True)
     lab = Lab(plan, out, program, parts, say)
+    lab.gates = Looks() if ask_gates else None
     loop = asyncio.get_running_loop()
     task = asyncio.current_task()
     assert task is not None
@@ -529,10 +580,12 @@
     (out / "result.json").write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1))
     record.write(lab.record.events, out / "events.jsonl")
     (out / "samples.json").write_bytes(msgspec.json.encode(lab.samples))
+    if lab.gates is not None:
+        (out / gates.FILE).write_bytes(msgspec.json.encode(lab.gates))
     return result, lab
 
 
 def play(plan: Plan, out: Path, program: Path, parts: str | None = None,
-         say: Callable[[str], None] = lambda text: print(text, file=sys.stderr)) -> Result:
+         say: Callable[[str], None] = lambda text: print(text, file=sys.stderr), ask_gates: bool = False) -> Result:
     """As `run`, from where there is no loop yet."""
-    return asyncio.run(run(plan, out, program, parts, say))[0]
+    return asyncio.run(run(plan, out, program, parts, say, ask_gates))[0]
