--- a/lab/plan.py
+++ b/lab/plan.py
@@ -70,6 +70,8 @@
     arrivals: tuple[Arrival, ...]
     acts: tuple[Act, ...]
     skews_s: tuple[float, ...]
+    believed: tuple[int, ...]
+    """How many forwarders each one's settings name."""
 
 
 def make(s: Scenario) -> Plan:
@@ -77,10 +79,11 @@
     nodes = tuple(f"n{n}" for n in range(s.fleet.nodes))
     destinations = _destinations(s, random.Random(f"{s.seed}/destinations"))
     endpoints = _endpoints(s, destinations, random.Random(f"{s.seed}/endpoints"))
-    skewed = random.Random(f"{s.seed}/clocks")
+    skewed, sizes = random.Random(f"{s.seed}/clocks"), random.Random(f"{s.seed}/sizes")
     return Plan(s, nodes, endpoints, destinations, _arrivals(s, destinations, random.Random(f"{s.seed}/arrivals")),
                 _acts(s, nodes, endpoints, random.Random(f"{s.seed}/faults")),
-                tuple(skewed.uniform(-s.fleet.skew_s, s.fleet.skew_s) for _ in nodes))
+                tuple(skewed.uniform(-s.fleet.skew_s, s.fleet.skew_s) for _ in nodes),
+                tuple(round(len(nodes) * sizes.uniform(*s.fleet.believed)) for _ in nodes))
 
 
 def _destinations(s: Scenario, chance: random.Random) -> tuple[Destination, ...]:
--- a/lab/run.py
+++ b/lab/run.py
@@ -198,7 +198,7 @@
                 "discovery": f"{address('discovery', n)}:{self.port}", "seed": f"{s.seed}-{n}",
                 "limits": {"cores": 1.0, "memory_mb": s.fleet.memory_mb, "sockets": s.fleet.sockets,
                            "disk_mb": s.fleet.disk_mb},
-                "known": self.discovery.listing(name), "settings": known}
+                "known": self.discovery.listing(name), "settings": {**known, "balancers": self.plan.believed[n]}}
             node = Node(name, self.out / "nodes" / name, self.program, config, self.record,
                         self.launcher, self.parts_of(n), self.plan.skews_s[n])
             node.control = (here, self.port + 2)
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -33,6 +33,8 @@
     max_open: Count = 120
     skew_s: Duration = 0.0
     """Wall clocks of the forwarders differ by up to this, either way."""
+    believed: Span = (1.0, 1.0)
+    """Each forwarder's settings name a number of forwarders of its own: so many times the true one."""
 
 
 class Time(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -197,7 +199,7 @@
     if s.time.warm_s >= s.time.load_s:
         raise BadScenario("time.warm_s: not before time.load_s")
     for table, key in ((s.load, "backoff_s"), (s.front, "notice_s"), (s.front, "again_s"), (s.discovery, "late_s"),
-                       (s.endpoints, "service_s"), (s.endpoints, "wait_s")):
+                       (s.endpoints, "service_s"), (s.endpoints, "wait_s"), (s.fleet, "believed")):
         low, high = getattr(table, key)
         if not 0 <= low <= high < math.inf:
             raise BadScenario(f"{type(table).__name__.lower()}.{key}: not a span from low to high")
--- a/measure/members.py
+++ b/measure/members.py
@@ -31,8 +31,18 @@
 from tests.sockets import ROOT
 
 
+MOST_JOINING = 300
+"""Larger fleets begin as if they had met already: that a thousand join at once is not what is measured."""
+
+
 def settled(size: int, seed: int, timing: Timing | None = None) -> Fleet:
     fleet = Fleet(size, seed, timing)
+    if size > MOST_JOINING:
+        news = [p.view.members[p.view.me].news for p in fleet.members.values()]
+        for p in fleet.members.values():
+            for one in news:
+                if one.name != p.view.me:
+                    p.view.take(one, Known.MERGED, fleet.now)
     fleet.until_agreed(120 * SECOND, SECOND)
     fleet.run(3 * SECOND)
     return fleet
--- a/tests/test_lab_members.py
+++ b/tests/test_lab_members.py
@@ -82,9 +82,11 @@
 
 def fleet(tmp_path: Path, scene: Callable[[Watched], Awaitable[None]], nodes: int = NODES, seed: int = 1,
           endpoints: int = 6, parts: str = PARTS, load: Load = Load(per_node_s=2.0),  # noqa: B008
-          tweak: Callable[[run.Lab], None] = lambda lab: None) -> tuple[run.Result, run.Lab]:
+          tweak: Callable[[run.Lab], None] = lambda lab: None,
+          believed: tuple[float, float] = (1.0, 1.0)) -> tuple[run.Result, run.Lab]:
     """Play a scene while messages pass. No rule may be broken meanwhile."""
-    told = Scenario("members", seed=seed, fleet=Fleet(nodes=nodes, endpoints=endpoints, destinations=3),
+    told = Scenario("members", seed=seed,
+                    fleet=Fleet(nodes=nodes, endpoints=endpoints, destinations=3, believed=believed),
                     load=load, time=Time(warm_s=1.0, load_s=60.0, drain_s=8.0),
                     limits=Limits(late_ms=2000.0))
     result: list[tuple[run.Result, run.Lab]] = []
--- a/tests/test_lab_news.py
+++ b/tests/test_lab_news.py
@@ -103,6 +103,27 @@
     assert result.figures["cold_ratio"] <= 1.0 and not [e for e in lab.record.events if e.kind == "fell"]
 
 
+def test_each_believes_another_size_and_all_together_take_no_more_than_the_whole(tmp_path: Path) -> None:
+    """From the true one to twice as many; an endpoint falls meanwhile and comes back cold."""
+    async def scene(w: Watched) -> None:
+        await w.agree(set(w.names))
+
+        async def proved() -> bool:
+            said = [await w.shares(name) for name in w.names]
+            return sum("unsure" in line and "held back" not in line for line in said) >= 3
+        await w.until(proved)
+        w.lab.sites["s-0"].fail(silent=False)
+        await all_hear(w, {"n0"}, "s-0", "(?:out|holds)")
+        w.lab.sites["s-0"].come_back()
+        for _ in range(15):
+            sizes = [float(re.findall(r"divides by ([\d.]+)", await w.shares(name))[0]) for name in w.names]
+            assert sum(1 / size for size in sizes) <= 1.0 + 1e-9 and len(set(sizes)) > 2
+            await asyncio.sleep(0.2)
+    result, lab = fleet(tmp_path, scene, nodes=6, endpoints=3, parts=NEWS, load=BUSY, believed=(1.0, 2.0))
+    assert lab.plan.believed != (6,) * 6 and result.figures["cold_ratio"] <= 1.0
+    assert not [e for e in lab.record.events if e.kind == "fell"]
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_one_with_a_broken_network_takes_no_endpoint_from_the_others(tmp_path: Path, seed: int) -> None:
     async def scene(w: Watched) -> None:
