--- a/measure/members.py
+++ b/measure/members.py
@@ -30,7 +30,6 @@
 from tests.members_sim import KEY, Fleet
 from tests.sockets import ROOT
 
-
 MOST_JOINING = 300
 """Larger fleets begin as if they had met already: that a thousand join at once is not what is measured."""
 
