Tell what the time of a return is made of: notice, start, list, backlog

Change: figures of a run have the front's notice, the start, the first list (median and longest of all that were struck) and the backlog after the last yes.

--- a/lab/figures.py
+++ b/lab/figures.py
@@ -104,6 +104,35 @@
     return None if last is None or any(down.values()) else last - fault_s
 
 
+STEPS = {"notice": ("struck", "noticed"), "start": ("started", "up"), "list": ("started", "listed")}
+
+
+def steps_of_return(events: Iterable[Event], fault_s: float) -> dict[str, float | None]:
+    """What a return's time is made of, in seconds: of all that were struck, by their last strike, the median and the
+    longest from the strike until the front noticed, and from the process's start to its first yes and to its first
+    list from discovery; and from the last yes until the last message of before the first strike had its end."""
+    lives: dict[str, dict[str, float]] = {}
+    before: set[str] = set()
+    ended, up = fault_s, None
+    for e in events:
+        if e.kind == "handed" and not lives:
+            before.add(e.id)
+        elif e.id in before and (e.kind == "notice" or (e.kind == "answered" and e.status == 200)):
+            ended = e.at_s
+        if e.kind in ("killed", "termed") and e.at_s >= fault_s:
+            lives[e.node] = {"struck": e.at_s}
+        elif e.kind in ("noticed", "started", "up") or (e.kind == "listed" and e.status == 200):
+            life = lives.get(e.node, {})
+            if e.kind in ("noticed", "started") or "started" in life:  # a process that ends may still ask
+                life.setdefault(e.kind, e.at_s)
+                up = e.at_s if e.kind == "up" and e.node in lives else up
+    found: dict[str, float | None] = {"backlog_s": None if up is None else max(0.0, ended - up)}
+    for name, (begin, end) in STEPS.items():
+        row = sorted(life[end] - life[begin] for life in lives.values() if begin in life and end in life)
+        found[f"{name}_s"], found[f"{name}_longest_s"] = (row[len(row) // 2], row[-1]) if row else (None, None)
+    return found
+
+
 def latencies(events: Iterable[Event], begin: str, ends: tuple[str, ...]) -> dict[str, float]:
     """Milliseconds from one kind of event to another with the same id: median, 99th percentile, most."""
     histogram = HdrHistogram(1, MOST_US, 3)
@@ -139,6 +168,7 @@
         "full_after_up_s": None if full is None or up is None else max(0.0, full - up),
         "full_after_blow_s": served.full_after(first, warm_s, load_s, last) if faults else None,
         **{f"{name}_ratio": worst_over_steady(row, warm_s, first) for name, row in rows.items()},
+        **(steps_of_return(events, first) if faults else {}),
         "cold_ratio": worst_cold, **{f"{name}_worst": max(row[int(first):], default=0) for name, row in rows.items()},
         "asked": calls["asked"], "delivered": len(served.done), "handed": calls["handed"],
         "taken": answers[202] + answers[200], "turned_away": answers[429] + answers[503],
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -154,3 +154,16 @@
     row = figures.per_second(sorted(events, key=lambda e: e.at_s), "listed", 12.0)
     assert figures.worst_over_steady(row, 2.0, 10.0) == pytest.approx(4.5)
     assert figures.worst_over_steady([0] * 12, 2.0, 10.0) is None
+
+
+def test_the_steps_of_a_return_are_told_apart() -> None:
+    seen = [ev(1.0, "handed", "m"), ev(2.0, "killed", node="n0"), ev(2.0, "killed", node="n1"),
+            ev(2.5, "started", node="n0"), ev(2.6, "started", node="n1"), ev(2.9, "up", node="n0"),
+            ev(3.0, "noticed", node="n1"), ev(3.1, "listed", node="n0", status=503),
+            ev(3.5, "listed", node="n2", status=200), ev(3.7, "listed", node="n0", status=200), ev(3.8, "up", node="n1"), ev(4.0, "handed", "late", node="n1"),
+            ev(5.0, "answered", "m", status=200), ev(6.0, "answered", "late", status=200)]
+    got = figures.steps_of_return(seen, 2.0)
+    assert {name: value and round(value, 6) for name, value in got.items()} == {
+        "backlog_s": 1.2, "notice_s": 1.0, "notice_longest_s": 1.0, "start_s": 1.2, "start_longest_s": 1.2,
+        "list_s": 1.2, "list_longest_s": 1.2}
+    assert set(figures.steps_of_return(seen[:1], 2.0).values()) == {None}
