--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -160,7 +160,8 @@
     seen = [ev(1.0, "handed", "m"), ev(2.0, "killed", node="n0"), ev(2.0, "killed", node="n1"),
             ev(2.5, "started", node="n0"), ev(2.6, "started", node="n1"), ev(2.9, "up", node="n0"),
             ev(3.0, "noticed", node="n1"), ev(3.1, "listed", node="n0", status=503),
-            ev(3.5, "listed", node="n2", status=200), ev(3.7, "listed", node="n0", status=200), ev(3.8, "up", node="n1"), ev(4.0, "handed", "late", node="n1"),
+            ev(3.5, "listed", node="n2", status=200), ev(3.7, "listed", node="n0", status=200),
+            ev(3.8, "up", node="n1"), ev(4.0, "handed", "late", node="n1"),
             ev(5.0, "answered", "m", status=200), ev(6.0, "answered", "late", status=200)]
     got = figures.steps_of_return(seen, 2.0)
     assert {name: value and round(value, 6) for name, value in got.items()} == {
