--- a/lab/figures.py
+++ b/lab/figures.py
@@ -177,7 +177,7 @@
         "failed": sum(e.kind == "notice" and e.state == "failed" for e in events),
         "calls": calls["call"], "calls_refused": refused[429] + refused[503], "dials": calls["dialled"],
         "lists": calls["listed"], "lists_refused": sum(e.kind == "listed" and e.status == 503 for e in events),
-        "to_202": latencies(events, "handed", ("answer",)),
+        **{f"to_202_{name}": value for name, value in latencies(events, "handed", ("answer",)).items()},
     }
 
 
--- a/lemonshunt/net/files.py
+++ b/lemonshunt/net/files.py
@@ -85,8 +85,7 @@
         """From here on this process alone writes here. What is damaged is set aside; the journal is opened where it
         ended, or begun. Raises OSError."""
         self.folder.mkdir(parents=True, exist_ok=True)
-        for name in (NEW_JOURNAL, NEW_SNAPSHOT):
-            self._unlink(name)
+        self._unlink(NEW_SNAPSHOT)
         self.generation, self.snapshot = found.generation, found.snapshot
         for name in self.names():
             if name.startswith((journal.SNAPSHOT, f"{journal.JOURNAL}-")) and ".bad-" not in name:
@@ -99,9 +98,11 @@
             self.size = os.fstat(self.fd).st_size if journal.JOURNAL in found.bad else found.last.size
             os.ftruncate(self.fd, self.size)
             os.lseek(self.fd, self.size, os.SEEK_SET)
-        if not self.size:
+        if not self.size:  # a new one that is there already says so until it is in its place
             self._begin_journal(self.generation, salt)
-        elif self.durable:
+            return
+        self._unlink(NEW_JOURNAL)
+        if self.durable:
             sync_folder(self.folder)
 
     def _path(self, name: str) -> Path:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -311,6 +311,30 @@
         assert (back.found.gaps, back.messages["a"].doubtful, back.found.generation) == (gaps, bool(gaps), 2)
 
 
+def test_who_dies_while_the_journal_is_replaced_and_dies_again_at_the_next_start_misses_nothing(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    whole = generations(tmp_path)
+    os.replace(tmp_path / "journal", tmp_path / "journal-3")
+    with (tmp_path / "journal-3").open("ab") as file:
+        file.write(journal.record(1234, whole.number + 1, (journal.CLOSED,)))
+    (tmp_path / "journal.new").touch()
+
+    real = os.open
+
+    def dies(path: Any, *args: Any, **named: Any) -> int:
+        if Path(path).name == "journal.new":
+            raise KeyboardInterrupt
+        return real(path, *args, **named)
+    monkeypatch.setattr(os, "open", dies)
+    for _ in range(2):
+        with pytest.raises(KeyboardInterrupt):
+            Store(tmp_path, MB).own()
+    monkeypatch.undo()
+    back = Store(tmp_path, MB).own()
+    assert not back.found.damaged and same(back, whole) and back.files.generation == 4
+    assert not (tmp_path / "journal.new").exists()
+
+
 def test_a_closed_journal_that_is_cut_or_gone_makes_all_doubtful_that_was_held(tmp_path: Path) -> None:
     whole = generations(tmp_path)
     (tmp_path / "snapshot-3").unlink()
