Read a folder in use again where its files were replaced meanwhile

Change: the folder is read again, five times at most, until its names are the same before and after. Its test replaces files just before they are read, twice, and fails without the change.

--- a/lemonshunt/statecheck.py
+++ b/lemonshunt/statecheck.py
@@ -10,6 +10,7 @@
 import logging
 import sys
 from collections.abc import Sequence
+from contextlib import suppress
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
@@ -19,6 +20,19 @@
 from lemonshunt.net.store import Store
 
 SOUND, DAMAGED, UNREADABLE = 0, 1, 2
+TRIES = 5
+
+
+def settled(folder: Path, salt: int | None) -> Store:
+    """The state of a folder whose files were not replaced while they were read: one in use is read again, a few times.
+    Raises OSError and NewerFormat."""
+    for _ in range(TRIES - 1):
+        before = sorted(path.name for path in folder.iterdir())
+        with suppress(OSError):
+            store = Store(folder, sys.maxsize, salt=salt)
+            if sorted(path.name for path in folder.iterdir()) == before:
+                return store
+    return Store(folder, sys.maxsize, salt=salt)
 
 
 def check(folder: Path) -> tuple[int, dict[str, Any], Store | None]:
@@ -27,7 +41,7 @@
         return UNREADABLE, {"verdict": "unreadable", "why": f"{folder} is no folder"}, None
     known = identity.read(folder)
     try:
-        store = Store(folder, sys.maxsize, salt=None if known is None else known.salt)
+        store = settled(folder, None if known is None else known.salt)
     except (OSError, NewerFormat) as error:
         return UNREADABLE, {"verdict": "unreadable", "why": str(error)}, None
     found = store.found
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -21,6 +21,7 @@
 from lemonshunt.interface import Effect, MessageClass
 from lemonshunt.net import identity
 from lemonshunt.net import store as module
+from lemonshunt.net.files import Files
 from lemonshunt.net.store import Store, Taken
 from lemonshunt.statecheck import main as state
 from tests.sockets import OK, Node, Peer, Platform, always, hang
@@ -552,6 +553,23 @@
     assert before == {p.name: p.read_bytes() for p in tmp_path.iterdir() if p.is_file()}
 
 
+def test_a_folder_whose_files_are_replaced_meanwhile_is_read_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                                                   capsys: pytest.CaptureFixture[str]) -> None:
+    whole, real, left = generations(tmp_path), Files.read, [2]
+
+    def read(self: Files, name: str) -> bytes:
+        if left[0] and name == "journal":  # a snapshot begins, and ends, just before it is read
+            left[0] -= 1
+            whole.begin_snapshot()
+            while whole.files.writing is not None:
+                whole.step()
+        return real(self, name)
+    monkeypatch.setattr(Files, "read", read)
+    assert state(["show", str(tmp_path)]) == 0 and not left[0]
+    told = json.loads(capsys.readouterr().out)
+    assert {m["id"] for m in told["messages"]} == whole.messages.keys() and told["verdict"] == "sound"
+
+
 def test_a_process_on_a_damaged_folder_ends_what_it_must_not_send_again(tmp_path: Path) -> None:
     async def scene() -> None:
         platform, peer = await Platform().start(), await Peer(hang).start()
