Let nothing go on a later sync after the store failed to write or sync

Change: the syncer asks the store too; until all is written anew nothing is let go. What is let go follows from the number that was synced, so the field for it is gone. Test: full disk, and a sync that fails at the switch; both fail without the change.

--- a/lemonshunt/net/durable.py
+++ b/lemonshunt/net/durable.py
@@ -63,12 +63,18 @@
         self.loop = asyncio.get_running_loop()
         self.waiting: deque[tuple[int, Callable[[], None]]] = deque()
         """What waits, each for all that was written up to its number."""
-        self.written, self.synced = 0, 0
+        self.written = 0
         self.busy = False
         self.broken = False
         self.syncs, self.failures, self.longest_s, self.most_waiting = 0, 0, 0.0, 0
         self.closed = False
 
+    @property
+    def unsure(self) -> bool:
+        """Whether the files may lack what was written: by a failed sync here, or a failed write or sync of the store's,
+        such as at the switch to a new journal. No later sync of the same file can tell."""
+        return self.broken or self.store.failed
+
     def after(self, done: Callable[[], None], wrote: bool = True) -> None:
         """Call it when all that is written now is synced; at once if nothing was written since and nothing waits."""
         if not wrote and not self.waiting:
@@ -83,7 +89,7 @@
         if self.busy or self.closed or not self.waiting:
             return
         self.busy = True
-        if self.broken:
+        if self.unsure:
             self.loop.call_later(AGAIN_S, self._anew)
             return
         fd = os.dup(self.store.fd)  # a compaction may close the store's own meanwhile
@@ -107,7 +113,7 @@
         self.syncs, self.longest_s = self.syncs + 1, max(self.longest_s, took_s)
         if error is not None:
             self._failed(error)
-        else:
+        elif not self.unsure:  # the store may have failed meanwhile
             self._let_go(number)
         self._begin()
 
@@ -132,8 +138,7 @@
         self._begin()
 
     def _let_go(self, number: int) -> None:
-        self.synced = max(self.synced, number)
-        while self.waiting and self.waiting[0][0] <= self.synced:
+        while self.waiting and self.waiting[0][0] <= number:
             self.waiting.popleft()[1]()
 
     def close(self) -> None:
@@ -148,8 +153,8 @@
         """Sync here and now, and let go all that waits. Whether that worked."""
         number = self.written
         try:
-            if self.broken:
-                raise OSError("an earlier sync failed")
+            if self.unsure:
+                raise OSError("an earlier write or sync failed")
             self.sync(self.store.fd)
         except OSError as error:
             self._failed(error)
@@ -201,4 +206,4 @@
             return self.told.durability
         return (f"{self.told.durability}: {s.syncs} syncs, {s.longest_s * 1000:.1f} ms the longest, "
                 f"{len(s.waiting)} wait, {s.most_waiting} at most; {s.failures} failed"
-                f"{', and nothing is let go' if s.broken else ''}")
+                f"{', and nothing is let go' if s.unsure else ''}")
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -14,7 +14,7 @@
 import pytest
 
 from lemonshunt.net import files as module
-from lemonshunt.net.durable import Syncer
+from lemonshunt.net.durable import DurablePart, Maker, Syncer
 from lemonshunt.net.store import Store
 from tests.sockets import OK, PATIENCE, Node, Peer, Platform, always
 from tests.test_journal import MB, taken
@@ -279,6 +279,39 @@
     syncing(tmp_path, scene)
 
 
+@pytest.mark.parametrize("what", ["write", "fdatasync"])
+def test_what_the_store_failed_to_write_or_sync_is_not_let_go_by_a_later_sync(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, what: str) -> None:
+    """The disk is full at a round's records; or the sync of a journal that is being closed fails."""
+    monkeypatch.setattr("lemonshunt.net.durable.AGAIN_S", 0.01)
+
+    async def scene(store: Store, syncer: Syncer, slow: Slow) -> None:
+        done: list[str] = []
+        disk = Disk(tmp_path, random.Random(1))
+        monkeypatch.setattr(module, "os", disk)
+        disk.fails = {what: 1}
+        store.take(taken("a"))
+        store.begin_snapshot() if what == "fdatasync" else store.flush()
+        assert store.failed
+        disk.fails = {"open": 10**6}  # nor can it be written anew
+        for _ in range(3):
+            slow.go.release()
+        syncer.after(lambda: done.append("a"))
+        await until(lambda: syncer.failures >= 3)
+        assert done == [] and not syncer.barrier() and "nothing is let go" in part_of(syncer).state()
+        disk.fails = {}
+        await until(lambda: done == ["a"])
+        monkeypatch.setattr(module, "os", os)
+        assert Store(tmp_path, MB).knows("a") and not store.failed
+    syncing(tmp_path, scene)
+
+
+def part_of(syncer: Syncer) -> DurablePart:
+    part = DurablePart.__new__(DurablePart)
+    part.told, part.syncer = Maker("data", 1.0), syncer
+    return part
+
+
 def test_a_barrier_lets_go_all_that_waits_and_after_the_end_nothing_goes(tmp_path: Path,
                                                                         monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene(store: Store, syncer: Syncer, slow: Slow) -> None:
