--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -14,7 +14,7 @@
 import pytest
 
 from lemonshunt.net import files as module
-from lemonshunt.net.durable import Syncer
+from lemonshunt.net.durable import DurablePart, Maker, Syncer
 from lemonshunt.net.store import Store
 from tests.sockets import OK, PATIENCE, Node, Peer, Platform, always
 from tests.test_journal import MB, taken
@@ -42,8 +42,8 @@
 
     def __getattr__(self, name: str) -> Any:
         real = getattr(os, name)
-        play = {"open": self.open, "write": self.write, "replace": self.replace, "fdatasync": self.fdatasync,
-                "fsync": self.fsync, "unlink": self.unlink, "ftruncate": os.ftruncate, "close": os.close}.get(name)
+        play = {"open": self._open, "write": self._write, "replace": self._replace, "fdatasync": self._fdatasync,
+                "fsync": self._fsync, "unlink": self._unlink, "ftruncate": os.ftruncate, "close": os.close}.get(name)
         if play is None:
             return real
 
@@ -61,7 +61,7 @@
     def inode(fd: int) -> str:
         return str(os.fstat(fd).st_ino)
 
-    def open(self, path: Any, flags: int, mode: int = 0o777) -> int:
+    def _open(self, path: Any, flags: int, mode: int = 0o777) -> int:
         new = not Path(path).exists()
         fd = os.open(path, flags, mode)
         if new:
@@ -69,22 +69,22 @@
             self.pending.append((Path(path).name, self.inode(fd)))
         return fd
 
-    def write(self, fd: int, data: Any) -> int:
+    def _write(self, fd: int, data: Any) -> int:
         return os.write(fd, bytes(data)[:self.chance.randrange(1, len(data) + 1)])  # short writes are allowed
 
-    def replace(self, old: Any, new: Any) -> None:
+    def _replace(self, old: Any, new: Any) -> None:
         self.pending += [(Path(new).name, str(Path(old).stat().st_ino)), (Path(old).name, "")]
         os.replace(old, new)
 
-    def unlink(self, path: Any) -> None:
+    def _unlink(self, path: Any) -> None:
         os.unlink(path)
         self.pending.append((Path(path).name, ""))
 
-    def fdatasync(self, fd: int) -> None:
+    def _fdatasync(self, fd: int) -> None:
         with open(f"/proc/self/fd/{fd}", "rb") as file:
             self.contents[self.inode(fd)] = file.read()
 
-    def fsync(self, fd: int) -> None:
+    def _fsync(self, fd: int) -> None:
         """Of the folder."""
         self.entries.update(self.pending)
         self.pending.clear()
@@ -166,6 +166,32 @@
         assert Store(tmp_path / f"disk{n}", MB, salt=7).knows("afterwards")
 
 
+@pytest.mark.parametrize("first", range(5, 13))
+def test_a_process_that_dies_at_any_call_finds_all_it_wrote_and_no_damage(tmp_path: Path, first: int,
+                                                                         monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without the power going: what was written is there. Every eighth call from the first on."""
+    for dies_at in range(first, 400, 8):
+        folder = tmp_path / str(dies_at)
+        folder.mkdir()
+        disk = Disk(folder, random.Random(dies_at))
+        monkeypatch.setattr(module, "os", disk)
+        store, written = Store(folder, MB, salt=7), set[str]()
+        disk.dies_at = dies_at
+        try:
+            for _ in life(store.own(), lambda: None, disk.chance):
+                written = {*store.messages, *store.ended}
+        except Died:
+            pass
+        monkeypatch.setattr(module, "os", os)
+        for again in ("afterwards", "and again"):
+            back = Store(folder, MB, salt=7)
+            assert not back.found.damaged and all(back.knows(name) for name in written), dies_at
+            assert not any(m.doubtful for m in back.messages.values())
+            back.own().take(taken(again))
+            back.close()
+            written.add(again)
+
+
 def test_without_the_sync_what_was_promised_may_be_gone(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """The disk does lose: it would find out a store that promises too much."""
     lost = 0
@@ -253,6 +279,39 @@
     syncing(tmp_path, scene)
 
 
+@pytest.mark.parametrize("what", ["write", "fdatasync"])
+def test_what_the_store_failed_to_write_or_sync_is_not_let_go_by_a_later_sync(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, what: str) -> None:
+    """The disk is full at a round's records; or the sync of a journal that is being closed fails."""
+    monkeypatch.setattr("lemonshunt.net.durable.AGAIN_S", 0.01)
+
+    async def scene(store: Store, syncer: Syncer, slow: Slow) -> None:
+        done: list[str] = []
+        disk = Disk(tmp_path, random.Random(1))
+        monkeypatch.setattr(module, "os", disk)
+        disk.fails = {what: 1}
+        store.take(taken("a"))
+        store.begin_snapshot() if what == "fdatasync" else store.flush()
+        assert store.failed
+        disk.fails = {"open": 10**6}  # nor can it be written anew
+        for _ in range(3):
+            slow.go.release()
+        syncer.after(lambda: done.append("a"))
+        await until(lambda: syncer.failures >= 3)
+        assert done == [] and not syncer.barrier() and "nothing is let go" in part_of(syncer).state()
+        disk.fails = {}
+        await until(lambda: done == ["a"])
+        monkeypatch.setattr(module, "os", os)
+        assert Store(tmp_path, MB).knows("a") and not store.failed
+    syncing(tmp_path, scene)
+
+
+def part_of(syncer: Syncer) -> DurablePart:
+    part = DurablePart.__new__(DurablePart)
+    part.told, part.syncer = Maker("data", 1.0), syncer
+    return part
+
+
 def test_a_barrier_lets_go_all_that_waits_and_after_the_end_nothing_goes(tmp_path: Path,
                                                                         monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene(store: Store, syncer: Syncer, slow: Slow) -> None:
