--- a/lemonshunt/net/files.py
+++ b/lemonshunt/net/files.py
@@ -10,6 +10,7 @@
 import os
 import zlib
 from collections.abc import Iterator
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -166,12 +167,13 @@
     # Writing
 
     def append(self, data: bytes) -> None:
-        """To the journal. Raises OSError, and leaves it as it was."""
+        """To the journal. Raises OSError, and leaves it as it was, if that can be done."""
         try:
             write(self.fd, data)
         except OSError:
-            os.ftruncate(self.fd, self.size)
-            os.lseek(self.fd, self.size, os.SEEK_SET)
+            with suppress(OSError):  # a folder that has become read-only: the tail is torn, and told by its check
+                os.ftruncate(self.fd, self.size)
+                os.lseek(self.fd, self.size, os.SEEK_SET)
             raise
         self.size += len(data)
 
@@ -222,11 +224,12 @@
         self.drop_older(keep=0)
 
     def abandon(self) -> None:
-        """Give up a snapshot that is not whole."""
+        """Give up a snapshot that is not whole. What cannot be removed is written over by the next one."""
         if self.writing is not None:
             os.close(self.writing.fd)
             self.writing = None
-            self._unlink(NEW_SNAPSHOT)
+            with suppress(OSError):
+                self._unlink(NEW_SNAPSHOT)
 
     def drop_older(self, keep: int = 0) -> None:
         """Remove what came before the newest snapshot; or before so many snapshots more."""
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -20,7 +20,6 @@
 import logging
 import secrets
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -389,8 +388,7 @@
         """Until all is written anew, the files may lack what memory has."""
         log.error("journal: cannot compact: %s", error)
         self.failed = True
-        with suppress(OSError):
-            self.files.abandon()
+        self.files.abandon()
 
     def _kept(self) -> int:
         """Bytes of a snapshot, or nearly."""
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -415,6 +415,28 @@
         store.close()
 
 
+def test_a_folder_that_becomes_read_only_ends_nothing_and_is_written_anew_later(tmp_path: Path,
+                                                                              monkeypatch: pytest.MonkeyPatch) -> None:
+    store = Store(tmp_path, MB).own()
+    for n in range(200):
+        store.take(taken(f"m{n}", SAFE, b"x" * 500))
+    store.flush()
+    store.begin_snapshot()
+
+    def refused(*args: Any, **named: Any) -> None:
+        raise OSError(30, "Read-only file system")
+    for call in ("write", "ftruncate", "unlink", "replace", "open"):
+        monkeypatch.setattr(os, call, refused)
+    for name in ("a", "b"):
+        store.take(taken(name, SAFE))
+        store.flush()
+    assert store.failed and not store.has_room(10) and store.files.writing is None
+    monkeypatch.undo()
+    store.over("m0")
+    store.flush()
+    assert not store.failed and same(Store(tmp_path, MB), store) and {"a", "b"} <= store.messages.keys()
+
+
 @pytest.mark.parametrize("name", ["journal", "snapshot-3"])
 @pytest.mark.parametrize("how", ["link", "folder", "no rights to read"])
 def test_what_is_no_plain_file_is_not_read(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, name: str,
