--- a/tests/test_members_socket.py
+++ b/tests/test_members_socket.py
@@ -36,7 +36,7 @@
 def played(tmp_path: Path, scene: Callable[[MembersPart, Transport], Any]) -> MembersPart:
     (tmp_path / "key").write_text(KEY.hex())
     told = Settings(Address("127.0.0.1", 1), Address("127.0.0.1", 1), "c", (Address("127.0.0.1", 2),), tmp_path / "key",
-                    Timing(period=10_000, probe=5_000), False, 1, 1, False, 1, 1)
+                    Timing(period=10_000, probe=5_000), False, 1, 1, 1, False, 1, 1)
     engine: Any = SimpleNamespace(config=SimpleNamespace(name="me"), identity=None,
                                   life=SimpleNamespace(phase=Phase.SERVING))
     part, transport = MembersPart(engine, told), Transport()
