Judge second copies by what was still out, not by which socket was read first

Possible causes: the program sends again before it has ended the first call; the endpoint that came back cold did not see the end; the lab reads the new connection's bytes before the other's end, both ready in one turn of its loop. Ruled out: the first two, as call 6 was cut in the same millisecond, after its time was up, and the message may be repeated. Change: a call counts as a second copy if the other one has not ended within the judge's slack (50 ms and its lateness); one that may not run twice is then a duplicate as before. Tests: the record above is clean, an end 200 ms later is a second copy, and of a once-only message a duplicate; two fail without the change.

--- a/lab/judge.py
+++ b/lab/judge.py
@@ -60,6 +60,8 @@
         self.spells: dict[str, list[list[float]]] = {}
         """Of each forwarder: from a kill until its next yes, and whether its folder was spoilt."""
         self.spoilt: dict[str, float] = {}
+        self.doubled: list[tuple[Event, set[int]]] = []
+        """Calls that came while others of their message were out, and those of them that nothing has ended since."""
         self.forgotten: list[str] = []
         """Messages that went with a folder that the schedule lost or damaged: no rule stands for them."""
 
@@ -73,6 +75,8 @@
             end = event.at_s
         for fate in self.fates.values():
             self._check_end(fate, end)
+        for call, out in self.doubled:
+            self._check_doubled(call, out)
         return self
 
     def _found(self, rule: str, event: Event, text: str, ident: str | None = None) -> None:
@@ -110,7 +114,7 @@
         if fate.handed.destination != e.destination:
             self._found("unknown", e, f"sent to {e.party} of destination {e.destination}")
         if fate.out:
-            self._found("second copy", e, f"call {e.call} to {e.party} while {sorted(fate.out)} is out")
+            self.doubled.append((e, set(fate.out)))
         elif fate.may_have_run and fate.handed.state == ONCE and not fate.given_up:
             self._found("duplicate", e, f"sent again to {e.party}, though an earlier call may have run")
         self._check_order(e, fate)
@@ -159,6 +163,17 @@
     def _cut(self, e: Event) -> None:
         """The connection of a call ended before its answer: it may have run."""
         self._call_over(e, ran=True)
+        for call, out in self.doubled:
+            if call.id == e.id and e.at_s - call.at_s <= self.slack:
+                out.discard(e.call)  # two sockets that were ready at once: which is looked at first is chance
+
+    def _check_doubled(self, e: Event, out: set[int]) -> None:
+        """A call that came while another was out; or just before the end of that other was seen, which may have run."""
+        fate = self.fates[e.id]
+        if out:
+            self._found("second copy", e, f"call {e.call} to {e.party} while {sorted(out)} is out")
+        elif fate.handed.state == ONCE and not fate.given_up:
+            self._found("duplicate", e, f"sent again to {e.party}, though an earlier call may have run")
 
     def _call_over(self, e: Event, ran: bool) -> None:
         fate = self.fates.get(e.id)
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -42,6 +42,9 @@
 CLEAN: dict[str, list[Event]] = {
     "delivered": fine(),
     "refused by the endpoint and sent again": [*handed(0, "a"), *called(0.1, "a", 1, 503), *called(1, "a", 2)],
+    "sent again as its connection was cut": [
+        *handed(0, "a", STATUS, None), *called(0.1, "a", 1, None), *called(0.2, "a", 2, party="s-2"),
+        ev(0.201, "cut", "a", party="s-1", call=1)],
     "returned unsent": [*handed(0, "a"), ev(5.2, "notice", "a", state="returned"), *LATE],
     "failed after it ran": [*handed(0, "a"), *called(0.1, "a", 1, 500), ev(1, "notice", "a", state="failed"), *LATE],
     "a repeatable one runs twice": [*handed(0, "a", STATUS, None), *called(0.1, "a", 1, 500), *called(1, "a", 2)],
@@ -80,6 +83,12 @@
                                              ev(1, "notice", "a", state="returned")]),
     "two out at once": ("second copy", [*handed(0, "a", STATUS, None), *called(0.1, "a", 1, None),
                                         *called(0.2, "a", 2, party="s-2")]),
+    "a cut that was seen too late for chance": ("second copy", [
+        *handed(0, "a", STATUS, None), *called(0.1, "a", 1, None), *called(0.2, "a", 2, party="s-2"),
+        ev(0.4, "cut", "a", party="s-1", call=1)]),
+    "a cut seen just after, of what may not run twice": ("duplicate", [
+        *handed(0, "a"), *called(0.1, "a", 1, None), *called(0.2, "a", 2, party="s-2"),
+        ev(0.201, "cut", "a", party="s-1", call=1)]),
     "past one of its key": ("order", [*handed(0, "a"), *handed(0.1, "b", number=1), *called(0.2, "b", 1),
                                       *called(1, "a", 2)]),
     "within a wait": ("wait", [*handed(0, "a"), *called(0.1, "a", 1, 429, wait_s=3.0), *called(1, "a", 2)]),
