Pass a client's Idempotency-Key on, and ask no session key of keyed classes

At fault: server.message, which never read the header; client.render and batch_body, which sent the session key as a batch's `key`. And message() answered 400 to a keyed message without X-Session-Key, which by the protocol only classes that keep their order carry.

Ruled out: zones, polled discovery, order, batches of one, all in the same site with the once-only effect kept.

The key is journaled with its message (one more item of the record, only where there is one, so journals without it are read as before) and passed on unchanged.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -43,6 +43,12 @@
     """Its own time-out, when it is alone in its call."""
     due_us: int
     """Its time is up then, and its end is owed."""
+    idempotency_key: str | None = None
+
+    @property
+    def batch_key(self) -> str | None:
+        """Its key in a call of several: targets know a repeat by it, so the idempotency key goes first."""
+        return self.idempotency_key or self.key
 
 
 @dataclass(slots=True)
@@ -260,6 +266,8 @@
             headers = [("X-Correlation-Id", item.id), ("X-Time-Left", left)]
             if item.key is not None:
                 headers.append(("X-Session-Key", item.key))
+            if item.idempotency_key is not None:
+                headers.append(("Idempotency-Key", item.idempotency_key))
             return request("POST", "/hook", host, headers, item.body)
         return request("POST", "/hook/batch", host,
                        [("Content-Type", "application/json"), ("X-Time-Left", left)], batch_body(items))
@@ -477,14 +485,14 @@
 
 def batch_body(items: list[Item]) -> bytes:
     return json.dumps([
-        {"id": item.id, **({} if item.key is None else {"key": item.key}),
+        {"id": item.id, **({} if item.batch_key is None else {"key": item.batch_key}),
          "body": base64.b64encode(item.body).decode()} for item in items
     ], separators=(",", ":")).encode()
 
 
 def fits(items: list[Item], item: Item) -> bool:
     """Whether one more message leaves the body of a batch call within what targets take."""
-    return sum(4 * len(x.body) // 3 + len(x.id) + len(x.key or "") + 64 for x in [*items, item]) <= MOST_BODY
+    return sum(4 * len(x.body) // 3 + len(x.id) + len(x.batch_key or "") + 64 for x in [*items, item]) <= MOST_BODY
 
 
 def single(reader: ResponseReader) -> Result:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -478,7 +478,7 @@
                 self.turn_away(*arriving.pop(a.message), a)
         for handed, _ in arriving.values():
             self.store.take(Taken(handed.id, handed.cls, handed.destination, handed.due_us, handed.key,
-                                  handed.tenant, handed.body))
+                                  handed.tenant, handed.body, idempotency_key=handed.idempotency_key))
         calls: list[i.CloseIdle | Call | i.Cancel] = []
         forming: dict[int, Call] = {}
         for a in actions:
@@ -563,7 +563,8 @@
             self.post(i.Ended(m.id, number, a.target, i.Outcome.NOT_SENT, 0))
             return
         self.store.attempt(m, number, now, name)
-        item = Item(m.id, number, m.key, m.body, min(now + a.timeout_us, m.due_us), m.due_us)
+        item = Item(m.id, number, m.key, m.body, min(now + a.timeout_us, m.due_us), m.due_us,
+                    m.idempotency_key)
         call = forming.get(a.target)
         if call is None or len(call.items) >= self.kind(target).batch or not fits(call.items, item):
             call = forming[a.target] = Call(a.target, self.place(a.target, target), now, [])
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -26,6 +26,7 @@
 SWEEP_S = 0.25
 LINGER_S = 1.0
 BACKLOG = 512
+ONLY_ONCE = frozenset({"x-correlation-id", "x-time-left", "x-addressing", "x-session-key", "idempotency-key"})
 log = logging.getLogger("lemonshunt.server")
 
 
@@ -58,6 +59,8 @@
     tenant: str | None
     resent: bool
     body: bytes
+    idempotency_key: str | None = None
+    """By which endpoints know a repeat; passed on as it came."""
 
 
 def message(request: Request, settings: i.Settings) -> Handed:
@@ -84,13 +87,14 @@
     key = h.get("x-session-key")
     if key is not None and (len(key) > 256 or not key.isascii() or not key.isprintable()):
         raise BadRequest(bad, "X-Session-Key is malformed")
-    if cls.effect is i.Effect.KEYED and not key:
-        raise BadRequest(bad, "X-Session-Key is missing")
+    once_key = h.get("idempotency-key")
+    if once_key is not None and (len(once_key) > 256 or not once_key.isascii() or not once_key.isprintable()):
+        raise BadRequest(bad, "Idempotency-Key is malformed")
     tenant = h.get("x-account")
     if settings.tenants and tenant not in {t.name for t in settings.tenants}:
         raise BadRequest(bad, "X-Account is missing or unknown")
     return Handed(ident, cls, dest, request.came_us + int(left * 1_000_000), key, tenant,
-                  h.get("x-repeat") == "1", bytes(request.body))
+                  h.get("x-repeat") == "1", bytes(request.body), once_key)
 
 
 class Door(asyncio.Protocol):
@@ -194,7 +198,7 @@
         if self.reading is not None:
             known = self.reading.headers
             low = name.decode("latin-1").lower()
-            if low in known and low in ("x-correlation-id", "x-time-left", "x-addressing", "x-session-key"):
+            if low in known and low in ONLY_ONCE:
                 self.reading.bad = BadRequest(HTTPStatus.BAD_REQUEST, f"{low} stands twice")
             known[low] = value.decode("latin-1").strip()
 
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -5,7 +5,7 @@
 Once the journal has grown enough, a snapshot is written beside it, in steps that do not hold the loop.
 Kinds of records, by the first item of the line:
   taken [id, class, destination, due, key, tenant, attempts, ran_at, ran_on, [[number, at, host]...]] + body,
-        the class as a list of its fields
+        the class as a list of its fields; one more item, the idempotency key, where the message has one
   attempt [id, number, at, host], before the call's first byte; outcome [id, number, may have run]
   over [id]; ended [ids], those that were over when the snapshot was written
   owed [id, state, after_ms, key], an end that the platform has not acknowledged; told [id]
@@ -56,12 +56,13 @@
     ran_at_us: int = -1
     ran_on: str = ""
     out: dict[int, tuple[int, str]] = field(default_factory=dict)
+    idempotency_key: str | None = None
     doubtful: bool = False
     """Records were lost while it was held: it may have run, and it may be over."""
 
     @property
     def size(self) -> int:
-        return len(self.body) + len(self.id) + PER_MESSAGE
+        return len(self.body) + len(self.id) + len(self.idempotency_key or "") + PER_MESSAGE
 
 
 class Owed(NamedTuple):
@@ -175,9 +176,9 @@
                 f"{doubtful} messages are in doubt, {len(self.touched)} known by their id alone")
 
     def _taken(self, rest: list[Any], body: bytes) -> None:
-        name, cls, destination, due, key, tenant, attempts, ran_at, ran_on, out = rest
+        name, cls, destination, due, key, tenant, attempts, ran_at, ran_on, out, *more = rest
         m = Taken(name, self._class(cls), destination, due, key, tenant, body, attempts, ran_at, ran_on,
-                  {n: (at, host) for n, at, host in out})
+                  {n: (at, host) for n, at, host in out}, *more[:1])
         if m.id in self.messages:  # a snapshot may have it too
             self.live -= self.messages[m.id].size
         self.messages[m.id] = m
@@ -336,7 +337,9 @@
         c = m.cls
         cls = [c.name, c.aim_us, c.deadline_us, c.effect.value, c.scope.value, c.window_us, c.in_order,
                c.worth, c.late_worth]
-        return ("taken", m.id, cls, m.destination, m.due_us, m.key, m.tenant, m.attempts, m.ran_at_us, m.ran_on, out)
+        more = () if m.idempotency_key is None else (m.idempotency_key,)
+        return ("taken", m.id, cls, m.destination, m.due_us, m.key, m.tenant, m.attempts, m.ran_at_us, m.ran_on, out,
+                *more)
 
     def knows(self, name: str) -> bool:
         """Whether a message of that id was taken on, be it over or not."""
