Let no repeat leave after its window, however late its connection comes up

The module looked at the window when it decided; the bytes leave when the connection is up, up to dial_timeout_us later.

At fault: client.dial, which looked at the list and told waits again, and not at the window.

Send now tells by when it has to leave, the pool holds back what is too late when the connection is up (never sent, so nothing has run by it), and the rest of the call goes. The same for the message's own time was sound: the dial ends with the call's time-out. The test fails with the check taken out.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -397,9 +397,12 @@
 
     def may_repeat(self, m: Message) -> bool:
         """Rule 2: whether a further attempt is allowed at all."""
-        keyed = m.cls.effect is i.Effect.KEYED and self.now - m.ran_at < m.cls.window_us
+        return m.attempts < self.s.max_attempts and self.now < self.leave_by(m)
+
+    def leave_by(self, m: Message) -> int:
+        """By when a further attempt has to leave: of one that may have run, within its window if it has one."""
         free = m.ran_at < 0 or m.cls.effect is i.Effect.REPEATABLE
-        return m.attempts < self.s.max_attempts and (free or keyed)
+        return NEVER if free else m.ran_at + (m.cls.window_us if m.cls.effect is i.Effect.KEYED else 0)
 
     def usable(self, m: Message) -> list[Target]:
         """Serving targets of the message's destination within its key's scope."""
@@ -717,7 +720,7 @@
         m.attempts, m.out = m.attempts + 1, m.out + 1
         self.held.remove(m)
         self.books.turn(m, None, self.now)
-        self.actions.append(i.Send(m.id, t.id, self.timeout(m, place)))
+        self.actions.append(i.Send(m.id, t.id, self.timeout(m, place), self.leave_by(m)))
 
     def begin(self, t: Target, longest: float) -> Call:
         """Book a new call, whatever it carries; the next at our pace goes no later than the longest time."""
--- a/lemonshunt/fleet.py
+++ b/lemonshunt/fleet.py
@@ -16,9 +16,6 @@
 and half of the bases of those n is what the m may take beside their own: together the whole. Who bridges a cut is heard
 through (indirect probes), so two sides do not both count one member. Slack: who left and is back where it cannot be
 heard: its base, and half the bases of those that believe so, for `believe_us` at most.
-
-Option not chosen: a leader that hands out shares, or a quorum that agrees on them. While cut off, a side without it
-could call nothing at all, or would need leases as long as the detection takes, renewed by all every few seconds.
 """
 
 from __future__ import annotations
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -368,6 +368,8 @@
     message: str
     target: int
     timeout_us: int
+    leave_by_us: int = 1 << 62
+    """Its bytes may not leave at this time or later: the window in which it may be repeated is over then."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -45,6 +45,8 @@
     due_us: int
     """Its time is up then, and its end is owed."""
     idempotency_key: str | None = None
+    leave_by_us: int = 1 << 62
+    """It may not leave at this time or later."""
 
     @property
     def batch_key(self) -> str | None:
@@ -242,6 +244,8 @@
             self.finish(call, Result(Outcome.NO_CONNECTION))
             return
         self.all.add(connection)
+        for item in [item for item in call.open.values() if self.clock() >= item.leave_by_us]:
+            self.tell(call, item, Result(Outcome.NOT_SENT))
         if connection.closing():
             self.finish(call, Result(Outcome.NO_CONNECTION))
         elif self.where.get(call.target) != where:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -564,7 +564,7 @@
             return
         self.store.attempt(m, number, now, name)
         item = Item(m.id, number, m.key, m.body, min(now + a.timeout_us, m.due_us), m.due_us,
-                    m.idempotency_key)
+                    m.idempotency_key, a.leave_by_us)
         call = forming.get(a.target)
         if call is None or len(call.items) >= self.kind(target).batch or not fits(call.items, item):
             call = forming[a.target] = Call(a.target, self.place(a.target, target), now, [])
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,7 +12,7 @@
 import pytest
 
 from lemonshunt import interface as i
-from lemonshunt.choice import LOOK_US
+from lemonshunt.choice import LOOK_US, NEVER, Dispatcher
 from lemonshunt.net import engine as engine_module
 from lemonshunt.net.client import EDGE_US, Call, Item, Pool
 from lemonshunt.net.config import Address, load
@@ -21,6 +21,7 @@
 from lemonshunt.net.listen import bind
 from lemonshunt.net.server import Door, Handed
 from lemonshunt.net.upgrade import Ownership
+from tests.scripts import ENTRIES, MS, S, ask, end, sends, settings
 from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Platform, Request
 
 SECOND = 1_000_000
@@ -157,3 +158,51 @@
         await peer.until(lambda: any(r.headers["x-correlation-id"] == "next" for r in peer.requests))
         at.end()
     play(scene)
+
+
+# A connection that comes up when its messages may not leave any more
+
+
+@pytest.mark.parametrize(("cls", "outcome", "window"), [
+    ("keyed", i.Outcome.RESET, 3 * S), ("zoned", i.Outcome.TIMED_OUT, 3 * S), ("keyed", i.Outcome.FULL, None),
+    ("safe", i.Outcome.RESET, None)])
+def test_a_repeat_tells_by_when_it_has_to_leave(cls: str, outcome: i.Outcome, window: int | None) -> None:
+    d = Dispatcher(settings(), 1, 0)
+    first, = sends(d.handle(0, [i.Listed(i.ListKind.SAVED, ENTRIES[:1]), ask("m", cls=cls)]))
+    assert first.leave_by_us == NEVER
+    again, now = sends(d.handle(50 * MS, [end(first, outcome)])), 50 * MS
+    while not again:
+        now += 10 * MS
+        again = sends(d.handle(now, []))
+    assert again[0].leave_by_us == (NEVER if window is None else window) and now < 2 * S
+
+
+def test_what_may_not_leave_any_more_stays_when_its_connection_comes_up() -> None:
+    """A third of the connections may come up late: a repeat left after the window in which endpoints drop it. What
+    else is in the call goes."""
+    async def scene(platform: Platform) -> None:
+        ends: list[i.Ended] = []
+        clock = Moved()
+        now = clock()
+
+        async def accept(request: Request) -> Answer:
+            many = json.loads(request.body) if request.path == "/hook/batch" else []
+            return Answer(200, body=json.dumps([{"id": x["id"], "state": "accepted"} for x in many]).encode())
+        peer = await Peer(accept).start()
+        pool = Pool(clock, ends.append, (), SECOND, SECOND, 10)
+        pool.serving({1: Address("127.0.0.1", peer.port)})
+        far = now + DUE_US
+        for alone in (True, False):
+            late = Item(f"late-{alone}", 0, None, b"x", far, far, leave_by_us=clock() + SECOND)
+            others = [] if alone else [Item(name, 0, None, b"x", far, far) for name in "ab"]
+            pool.close_idle(1)
+            pool.start(Call(1, (7, -1), clock(), [late, *others]))
+            clock.until(clock() + SECOND)  # the dial has not begun yet
+            while pool.out:
+                await asyncio.sleep(0.005)
+        assert [(e.message, e.outcome) for e in ends] == [
+            ("late-True", i.Outcome.NOT_SENT), ("late-False", i.Outcome.NOT_SENT),
+            ("a", i.Outcome.DELIVERED), ("b", i.Outcome.DELIVERED)]
+        assert [r.path for r in peer.requests] == ["/hook/batch"]
+        pool.close()
+    play(scene)
