Read a flood no faster than its answers are read, and let go who reads none

A probe (now a test): a client that pipelines 10 MB of unreadable requests and reads nothing had all of it read and answered at once, with the answers held in memory: more than twice what it sent, in 64 to 96 MB. And a close in order waits until the client has read, so such a client held its socket for ever, also when it was the one that was closed to make room.

At fault: Door had no pause_writing, so only requests that wait for a round ever paused its reading; Door.close flushes first.

Now a door whose answers stand unread stops to read until they are read, nothing lost; after 2 s (STALLED_US, the bound on silent peers) without an answer read or a byte sent it is reset, as is one whose close is stuck. Ruled out by the probe: messages; at most eight wait on a connection, with what one read brings beside them. Both tests fail without the mend.

--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -113,7 +113,7 @@
         self.busy: Request | None = None
         self.left: Callable[[], None] | None = None
         self.made_us = self.used_us = server.clock()
-        self.asked = self.broken = self.ended = False
+        self.asked = self.broken = self.ended = self.full = False  # full: it does not read what it is answered
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -231,12 +231,21 @@
 
     # Answering
 
+    def pause_writing(self) -> None:
+        """It does not read its answers: what it goes on to send stays unread, so that they do not pile up."""
+        self.full = True
+
+    def resume_writing(self) -> None:
+        self.full = False
+        self.used_us = self.server.clock()
+        self.next()
+
     def next(self) -> None:
-        while self.busy is None and self.waiting and self.transport is not None:
+        while self.busy is None and self.waiting and self.transport is not None and not self.full:
             self.busy = self.waiting.popleft()
             self.server.handle(self, self.busy)
         if self.transport is not None and not self.transport.is_closing():
-            if len(self.waiting) >= MOST_WAITING:
+            if self.full or len(self.waiting) >= MOST_WAITING:
                 self.transport.pause_reading()
             elif not self.transport.is_reading():
                 self.transport.resume_reading()
@@ -273,6 +282,10 @@
         if self.transport is not None:
             self.transport.close()
 
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
     def closed(self) -> bool:
         return self.transport is None or self.transport.is_closing()
 
@@ -308,9 +321,11 @@
         """Peers that send nothing, or a part of a request, must not hold their sockets: clients need them."""
         old = self.clock() - STALLED_US
         for door in list(self.doors):
-            if door.busy is not None or door.broken:
+            if (door.full or door.closed()) and door.used_us < old:
+                door.abort()  # it reads nothing: a close in order would wait for it for ever
+            elif door.busy is not None or door.broken:
                 continue
-            if door.reading is not None and door.reading.came_us < old:
+            elif door.reading is not None and door.reading.came_us < old:
                 door.broken, door.reading = True, None
                 door.busy = Request(old, keep_alive=False)
                 door.answer(HTTPStatus.REQUEST_TIMEOUT, "the request did not come to its end")
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -19,8 +20,9 @@
 from lemonshunt.net.control import Control
 from lemonshunt.net.engine import Clock, Engine
 from lemonshunt.net.listen import bind
-from lemonshunt.net.server import Door, Handed
+from lemonshunt.net.server import STALLED_US, Door, Handed, Server
 from lemonshunt.net.upgrade import Ownership
+from lemonshunt.wirehost import settings as settings_of
 from tests.scripts import ENTRIES, MS, S, ask, end, sends, settings
 from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Platform, Request
 
@@ -206,3 +208,66 @@
         assert [r.path for r in peer.requests] == ["/hook/batch"]
         pool.close()
     play(scene)
+
+
+# A client that sends much and reads none of its answers
+
+FLOOD = b"POST /nowhere HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n" * 200_000
+"""10 MB: more than all buffers on the way hold."""
+MOST_UNREAD = 1 << 20
+
+
+async def flooded(server: Server) -> tuple[socket.socket, Door, asyncio.Task[None]]:
+    """A client in the middle of sending a flood, and its door, which has stopped to read it."""
+    loop = asyncio.get_running_loop()
+    server.listen(await bind(Address("127.0.0.1", 0)))
+    assert server.listener is not None
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+    await loop.sock_connect(sock, ("127.0.0.1", server.listener.where().port))
+    sending = asyncio.create_task(loop.sock_sendall(sock, FLOOD))
+    while not server.doors:
+        await asyncio.sleep(0.005)
+    door, = server.doors
+    assert door.transport is not None
+    while door.transport.is_reading() and not sending.done():
+        await asyncio.sleep(0.005)
+        assert door.transport.get_write_buffer_size() < MOST_UNREAD
+    return sock, door, sending
+
+
+def refuse(handed: Handed, door: Door) -> None:
+    raise AssertionError("nothing of a flood is a message")
+
+
+def test_a_flood_is_read_no_faster_than_its_answers_are() -> None:
+    """Answers to a client that reads none piled up in memory, as much as it sent. Nothing is lost by the pause."""
+    async def scene(platform: Platform) -> None:
+        server = Server(settings_of(SETTINGS), Moved(), 10, refuse)
+        sock, door, sending = await flooded(server)
+        assert not sending.done() and not door.closed()
+        loop, got, answered = asyncio.get_running_loop(), b"", 0
+        while answered < FLOOD.count(b"POST"):
+            *whole, got = (got + await loop.sock_recv(sock, 1 << 20)).split(b"HTTP/1.1 404")
+            answered += len(whole)
+        await sending
+        sock.close()
+        server.close()
+    play(scene)
+
+
+def test_a_client_that_reads_nothing_loses_its_connection() -> None:
+    """It held its socket for ever: a close in order waits until all is read."""
+    async def scene(platform: Platform) -> None:
+        clock = Moved()
+        server = Server(settings_of(SETTINGS), clock, 10, refuse)
+        sock, _, sending = await flooded(server)
+        clock.until(clock() + STALLED_US + 1)
+        while server.doors:
+            await asyncio.sleep(0.005)
+        with pytest.raises(ConnectionError):
+            await sending
+        sock.close()
+        server.close()
+    play(scene)
