Ask anew 1.8 s after a silent watch's wait at most, before what it missed is told

Need: what a call that may wait had to tell counts as told 2 s after its wait is over. A watch was held dead 1.2 s after its wait, and the module asks anew 0.5 to 1.0 s after that: up to 2.2 s. Drains came through by the grace of 250 ms alone; the variant `narrow` gives 200 ms.

At fault: LATE_S in discovery.py, which took the two seconds without the module's pause. It is 0.8 s now: 2 s less twice ASK_AGAIN_US, less 0.2 s for the connection and a busy loop. An agent that lives answers at once when the wait is over, so 0.8 s costs no false alarm.

A test holds the sum under the protocol's figure (it fails with 1.2), others that what a silent watch missed is learned by the next: silent from the process's first question, twice running, or in the middle of its answer.

--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -15,7 +15,8 @@
 from lemonshunt.wirehost import Malformed
 
 HOLD_MS = 20_000  # how long a watch waits for something newer
-LATE_S = 1.2  # a watch silent for so long after that is dead; what it had to tell counts as told 2 s after
+LATE_S = 0.8  # a watch silent for so long after that is dead; what it had to tell counts as told 2 s after, and the
+# module takes up to twice ASK_AGAIN_US of them before it asks anew
 ANSWER_S = 2.5  # how long another answer may take; discovery gives up after 2 s itself
 LEAST_WATCH_S = 0.1  # the next watch must come within 0.2 s of the last answer
 NOTICE_PAUSES_S = (0.05, 0.1, 0.2, 0.4)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -13,7 +13,8 @@
 import pytest
 
 from lemonshunt import interface as i
-from lemonshunt.choice import LOOK_US, NEVER, Dispatcher
+from lemonshunt.choice import ASK_AGAIN_US, LOOK_US, NEVER, Dispatcher
+from lemonshunt.net import discovery
 from lemonshunt.net import engine as engine_module
 from lemonshunt.net.client import EDGE_US, Call, Item, Pool
 from lemonshunt.net.config import Address, load
@@ -271,3 +272,53 @@
         sock.close()
         server.close()
     play(scene)
+
+
+# A watch that falls silent
+
+TOLD_AFTER_S = 2.0
+"""The protocol: what a call that may wait had to tell counts as told so long after its wait is over."""
+
+
+def test_a_silent_watch_is_asked_anew_before_what_it_missed_counts_as_told() -> None:
+    """Up to 0.2 s too late, before: the grace for drains, which settings may make shorter, hid it."""
+    assert discovery.LATE_S + 2 * ASK_AGAIN_US / SECOND < TOLD_AFTER_S - 0.1
+
+
+class Quiet(Platform):
+    """Discovery whose next watches fall silent, as they are asked or in the middle of their answer."""
+
+    def __init__(self, silent: int, cut: bytes) -> None:
+        super().__init__()
+        self.silent, self.cut = silent, cut
+
+    async def answer(self, request: Request) -> Answer | bytes | None:
+        if "from=" in request.path and self.silent:
+            self.silent -= 1
+            request.writer.write(self.cut)
+            await asyncio.sleep(3600)
+        return await super().answer(request)
+
+
+@pytest.mark.parametrize("cut", [b"", b"HTTP/1.1 200 OK\r\nContent-Le"])
+@pytest.mark.parametrize("silent", [1, 2])
+def test_what_a_silent_watch_missed_is_learned_by_the_next_one(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, silent: int, cut: bytes) -> None:
+    """From the first question of the process on, and though the watch that follows falls silent too."""
+    monkeypatch.setattr(discovery, "HOLD_MS", 100)
+    monkeypatch.setattr(engine_module, "Clock", Moved)
+
+    async def scene(_: Platform) -> None:
+        platform = Quiet(silent, cut)
+        await platform.start()
+        platform.host("s1", 9)
+        platform.host("s2", 9)
+        at = await Scene(tmp_path, platform).start()
+        await platform.got(1)
+        assert len(at.engine.pool.where) == 2
+        await platform.change("s1", "draining")
+        while len(at.engine.pool.where) == 2:
+            await asyncio.sleep(0.005)
+        assert len(platform.requests) >= silent + 1
+        at.end()
+    play(scene)
