Take no connection on which something unread has come for the next call

Need: bytes may arrive in the very moment in which a call takes a resting connection: half a line, a second answer, an end. They lay unread in the kernel while the call was written, and were read as its answer: a second 200 as the delivery of a message that had failed, half a line as an unreadable answer (a once-only message is lost to it), an end as a reset though nothing had run.

At fault: Connection.start, which asked only whether the transport knew of an end: it knows what the loop has read. Now the socket is polled before the first byte leaves (one system call), and what has something unread is closed and the next one taken. The probe is the test, with the bytes in the kernel before the call: for all four crossings the call left on the old connection without the mend.

Beside it, found sound and now tested with the crossing forced: answers that are reset or ended after the last byte of the call, within and after the answer; a request in the kernel when drain, exit or a want of room closes its connection (never taken on).

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -10,6 +10,7 @@
 import base64
 import json
 import logging
+import select
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -107,8 +108,12 @@
         return self.transport is None or self.transport.is_closing()
 
     def start(self, call: Call, data: bytes) -> bool:
-        """Write a call. False where the connection was dead already: not a byte of the call has left then."""
+        """Write a call. False where the connection was dead already, or something has come on it that nothing asked
+        for: not a byte of the call has left then."""
         assert self.transport is not None
+        if self.spoilt():
+            self.close()
+            return False
         self.reader.renew()
         self.seen.clear()
         self.transport.write(data)
@@ -118,6 +123,16 @@
         call.written = self.transport.get_write_buffer_size() == 0
         return True
 
+    def spoilt(self) -> bool:
+        """Whether bytes or an end have come that are not read yet. Read after a call is written they would be taken
+        for its answer, or for the end of a call that never arrived."""
+        sock = None if self.transport is None else self.transport.get_extra_info("socket")
+        if sock is None:
+            return False
+        unread = select.poll()
+        unread.register(sock.fileno(), select.POLLIN)
+        return bool(unread.poll(0))
+
     def close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,7 +6,9 @@
 import asyncio
 import json
 import socket
+import struct
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
@@ -25,7 +27,7 @@
 from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings as settings_of
 from tests.scripts import ENTRIES, MS, S, ask, end, sends, settings
-from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Platform, Request
+from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Platform, Request, message
 
 SECOND = 1_000_000
 DUE_US = 50 * SECOND
@@ -322,3 +324,156 @@
         assert len(platform.requests) >= silent + 1
         at.end()
     play(scene)
+
+
+# What comes on a connection to a target in the moment in which the next call takes it
+
+
+def whole(request: bytes) -> bool:
+    head, _, body = request.partition(b"\r\n\r\n")
+    return b"Content-Length: %d\r\n" % len(body) in head + b"\r\n"
+
+
+class Wire:
+    """A target of plain sockets: what it sends is in the forwarder's kernel when `send` returns."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+
+    @property
+    def address(self) -> Address:
+        return Address(*self.listener.getsockname())
+
+    async def accept(self) -> socket.socket:
+        return (await asyncio.get_running_loop().sock_accept(self.listener))[0]
+
+    @staticmethod
+    async def request(sock: socket.socket) -> bytes:
+        got = b""
+        while not whole(got):
+            more = await asyncio.get_running_loop().sock_recv(sock, 1 << 16)
+            assert more, got
+            got += more
+        return got
+
+    @staticmethod
+    def reset(sock: socket.socket) -> None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("crossing", ["half a line", "a second answer", "an end", "a reset"])
+def test_a_call_does_not_take_a_connection_on_which_something_has_come(crossing: str) -> None:
+    """The answer to no call was taken for the next one's; an end, for a call that may have run."""
+    async def scene(platform: Platform) -> None:
+        ends: list[i.Ended] = []
+        clock, wire = Moved(), Wire()
+        pool = Pool(clock, ends.append, (), 60 * SECOND, SECOND, 10)
+        pool.serving({1: wire.address})
+        far = clock() + DUE_US
+        pool.start(Call(1, (7, -1), clock(), [Item("a", 0, None, b"x", far, far)]))
+        first = await wire.accept()
+        first.setblocking(False)
+        assert b"X-Correlation-Id: a" in await wire.request(first)
+        first.send(WHOLE)
+        while not ends:
+            await asyncio.sleep(0.005)
+        if crossing == "half a line":
+            first.send(b"HTTP/1.1 4")
+        elif crossing == "a second answer":
+            first.send(WHOLE)
+        elif crossing == "an end":
+            first.shutdown(socket.SHUT_WR)
+        else:
+            wire.reset(first)
+        pool.start(Call(1, (7, -1), clock(), [Item("b", 0, None, b"x", far, far)]))
+        second = await wire.accept()
+        second.setblocking(False)
+        assert b"X-Correlation-Id: b" in await wire.request(second)
+        assert len(ends) == 1
+        second.send(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
+        while len(ends) < 2:
+            await asyncio.sleep(0.005)
+        assert ends[1].outcome is i.Outcome.FAILED
+        pool.close()
+    play(scene)
+
+
+CUT = [
+    (b"", i.Outcome.RESET), (b"HTTP/1.1 2", i.Outcome.UNREADABLE),
+    (b"HTTP/1.1 429 X\r\nX-RateLimit", i.Outcome.UNREADABLE),
+    (b"HTTP/1.1 200 OK\r\nContent-Le", i.Outcome.DELIVERED), (WHOLE, i.Outcome.DELIVERED),
+    (b"what is this", i.Outcome.UNREADABLE),
+]
+
+
+@pytest.mark.parametrize("broken", ["reset", "end"])
+@pytest.mark.parametrize(("answer", "outcome"), CUT)
+def test_an_answer_that_breaks_off_is_believed_by_its_first_line_only(
+        broken: str, answer: bytes, outcome: i.Outcome) -> None:
+    """Reset or ended after the call's last byte, within its answer, and after the answer's last byte. A reset may take
+    bytes along that the forwarder has not read; then as much is believed as came."""
+    async def scene(platform: Platform) -> None:
+        ends: list[i.Ended] = []
+        clock, wire = Moved(), Wire()
+        pool = Pool(clock, ends.append, (), 60 * SECOND, SECOND, 10)
+        pool.serving({1: wire.address})
+        far = clock() + DUE_US
+        pool.start(Call(1, (7, -1), clock(), [Item("a", 0, None, b"x", far, far)]))
+        sock = await wire.accept()
+        sock.setblocking(False)
+        await wire.request(sock)
+        if answer:
+            sock.send(answer)
+            while not ends and not any(c.connection and c.connection.seen == answer for c in pool.calls.values()):
+                await asyncio.sleep(0.002)
+        if broken == "reset":
+            wire.reset(sock)
+        else:
+            sock.close()
+        while not ends:
+            await asyncio.sleep(0.005)
+        assert [e.outcome for e in ends] == [outcome]
+        pool.close()
+    play(scene)
+
+
+# A request in the kernel when its connection is closed
+
+
+@pytest.mark.parametrize("ending", ["drain", "exit", "too many"])
+def test_a_request_that_crosses_the_close_is_never_taken_on(ending: str) -> None:
+    """Its client hears an end with no answer, and sends it once more elsewhere."""
+    async def scene(platform: Platform) -> None:
+        handed: list[str] = []
+
+        def hand_in(got: Handed, door: Door) -> None:
+            handed.append(got.id)
+            door.answer(HTTPStatus.ACCEPTED)
+        server = Server(settings_of(SETTINGS), Moved(), 1, hand_in)
+        server.listen(await bind(Address("127.0.0.1", 0)))
+        assert server.listener is not None
+        address = ("127.0.0.1", server.listener.where().port)
+        loop, sock = asyncio.get_running_loop(), socket.socket()
+        sock.setblocking(False)
+        await loop.sock_connect(sock, address)
+        await loop.sock_sendall(sock, message("first"))
+        assert (await loop.sock_recv(sock, 1 << 16)).startswith(b"HTTP/1.1 202")
+        sock.send(message("crossing"))
+        if ending == "drain":
+            server.let_go()
+        elif ending == "exit":
+            server.close()
+        else:
+            server.joined(Door(server))
+        try:
+            assert await loop.sock_recv(sock, 1 << 16) == b""
+        except ConnectionError:
+            pass
+        assert handed == ["first"]
+        server.close()
+    play(scene)
