--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -15,6 +15,8 @@
 from pathlib import Path
 from typing import Any
 
+from lemonshunt.net.engine import Clock
+
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE = 20.0  # seconds that a test waits for an event before it fails; nothing asserts on speed
 
@@ -120,6 +122,18 @@
 OK = Answer(200)
 
 
+class Skewed(Clock):
+    """A clock that a test puts forward."""
+
+    skew = 0
+
+    def __call__(self) -> int:
+        return super().__call__() + self.skew
+
+    def until(self, at_us: int) -> None:
+        self.skew += at_us - self()
+
+
 class Platform(Peer):
     """Discovery and the place for notices."""
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import signal
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -13,38 +14,30 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import settings as profile
+from hypothesis import strategies as st
 
 from lemonshunt import interface as i
 from lemonshunt.choice import ASK_AGAIN_US, LOOK_US, NEVER, Dispatcher
 from lemonshunt.net import discovery
 from lemonshunt.net import engine as engine_module
-from lemonshunt.net.client import EDGE_US, Call, Item, Pool
+from lemonshunt.net.client import EDGE_US, Call, Connection, Item, Pool
 from lemonshunt.net.config import Address, load
 from lemonshunt.net.control import Control
-from lemonshunt.net.engine import Clock, Engine
+from lemonshunt.net.engine import Engine
 from lemonshunt.net.listen import bind
 from lemonshunt.net.server import STALLED_US, Door, Handed, Server
 from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings as settings_of
+from tests import test_node as real
 from tests.scripts import ENTRIES, MS, S, ask, end, sends, settings
-from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Platform, Request, message
+from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Platform, Request, Skewed, always, hang, message
 
 SECOND = 1_000_000
 DUE_US = 50 * SECOND
 
 
-class Moved(Clock):
-    """A clock that a test moves on."""
-
-    ahead_us = 0
-
-    def __call__(self) -> int:
-        return super().__call__() + self.ahead_us
-
-    def until(self, at_us: int) -> None:
-        self.ahead_us += at_us - self()
-
-
 class Scene:
     """An engine in this process, with real sockets to a platform, a target and its clients."""
 
@@ -63,8 +56,8 @@
         return self
 
     @property
-    def clock(self) -> Moved:
-        assert isinstance(self.engine.clock, Moved)
+    def clock(self) -> Skewed:
+        assert isinstance(self.engine.clock, Skewed)
         return self.engine.clock
 
     def take(self, name: str, cls: str, key: str = "k", due_us: int | None = None) -> None:
@@ -116,7 +109,7 @@
     """Its time began when the client sent it, which was before it was read: the platform may have counted it out."""
     async def scene(platform: Platform) -> None:
         ends: list[i.Ended] = []
-        clock = Moved()
+        clock = Skewed()
         due = clock() + DUE_US
 
         async def answer(request: Request) -> Answer:
@@ -138,7 +131,7 @@
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch, cls: str, state: str) -> None:
     """Seen on split+brink: counted as lost, and the next of its key as sent out of order. A notice of what is over
     does no harm; until it is answered the key waits."""
-    monkeypatch.setattr(engine_module, "Clock", Moved)
+    monkeypatch.setattr(engine_module, "Clock", Skewed)
 
     async def scene(platform: Platform) -> None:
         async def answer(request: Request) -> Answer:
@@ -187,7 +180,7 @@
     else is in the call goes."""
     async def scene(platform: Platform) -> None:
         ends: list[i.Ended] = []
-        clock = Moved()
+        clock = Skewed()
         now = clock()
 
         async def accept(request: Request) -> Answer:
@@ -247,7 +240,7 @@
 def test_a_flood_is_read_no_faster_than_its_answers_are() -> None:
     """Answers to a client that reads none piled up in memory, as much as it sent. Nothing is lost by the pause."""
     async def scene(platform: Platform) -> None:
-        server = Server(settings_of(SETTINGS), Moved(), 10, refuse)
+        server = Server(settings_of(SETTINGS), Skewed(), 10, refuse)
         sock, door, sending = await flooded(server)
         assert not sending.done() and not door.closed()
         loop, got, answered = asyncio.get_running_loop(), b"", 0
@@ -263,7 +256,7 @@
 def test_a_client_that_reads_nothing_loses_its_connection() -> None:
     """It held its socket for ever: a close in order waits until all is read."""
     async def scene(platform: Platform) -> None:
-        clock = Moved()
+        clock = Skewed()
         server = Server(settings_of(SETTINGS), clock, 10, refuse)
         sock, _, sending = await flooded(server)
         clock.until(clock() + STALLED_US + 1)
@@ -308,7 +301,7 @@
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch, silent: int, cut: bytes) -> None:
     """From the first question of the process on, and though the watch that follows falls silent too."""
     monkeypatch.setattr(discovery, "HOLD_MS", 100)
-    monkeypatch.setattr(engine_module, "Clock", Moved)
+    monkeypatch.setattr(engine_module, "Clock", Skewed)
 
     async def scene(_: Platform) -> None:
         platform = Quiet(silent, cut)
@@ -371,7 +364,7 @@
     """The answer to no call was taken for the next one's; an end, for a call that may have run."""
     async def scene(platform: Platform) -> None:
         ends: list[i.Ended] = []
-        clock, wire = Moved(), Wire()
+        clock, wire = Skewed(), Wire()
         pool = Pool(clock, ends.append, (), 60 * SECOND, SECOND, 10)
         pool.serving({1: wire.address})
         far = clock() + DUE_US
@@ -419,7 +412,7 @@
     bytes along that the forwarder has not read; then as much is believed as came."""
     async def scene(platform: Platform) -> None:
         ends: list[i.Ended] = []
-        clock, wire = Moved(), Wire()
+        clock, wire = Skewed(), Wire()
         pool = Pool(clock, ends.append, (), 60 * SECOND, SECOND, 10)
         pool.serving({1: wire.address})
         far = clock() + DUE_US
@@ -454,7 +447,7 @@
         def hand_in(got: Handed, door: Door) -> None:
             handed.append(got.id)
             door.answer(HTTPStatus.ACCEPTED)
-        server = Server(settings_of(SETTINGS), Moved(), 1, hand_in)
+        server = Server(settings_of(SETTINGS), Skewed(), 1, hand_in)
         server.listen(await bind(Address("127.0.0.1", 0)))
         assert server.listener is not None
         address = ("127.0.0.1", server.listener.where().port)
@@ -477,3 +470,255 @@
         assert handed == ["first"]
         server.close()
     play(scene)
+
+
+# The process
+
+
+def test_a_second_sigterm_changes_nothing_of_the_first(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        free = asyncio.Event()
+
+        async def slow(request: Request) -> Answer:
+            await free.wait()
+            return OK
+        peer = await real.target(platform, slow)
+        node = await real.node_on(folder, platform)
+        assert (await node.hand_in("out", "pay"))[0] == 202
+        await peer.got(1)
+        for _ in range(2):
+            node.process.send_signal(signal.SIGTERM)
+        free.set()
+        assert await node.end(signal.SIGTERM) == 0
+        assert sum("stopping: " in line for line in node.log) == 1
+        await node.start()
+        assert (await node.hand_in("out", "pay"))[0] == 202  # known: delivered, and not sent again
+        assert (await node.hand_in("more", "pay"))[0] == 202
+        await peer.got(2)
+        assert [r.headers["x-correlation-id"] for r in peer.requests] == ["out", "more"]
+    real.play(scene, tmp_path)
+
+
+def test_sigterm_before_it_is_ready_loses_nothing(tmp_path: Path) -> None:
+    """It waits for its address, which another socket has."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await real.target(platform, hang)
+        node = await real.node_on(folder, platform)
+        assert (await node.hand_in("held", "status"))[0] == 202
+        await peer.got(1)
+        await node.end()
+        node.log.clear()
+        with socket.create_server((node.host, node.port)):
+            await node.start(ready=False)
+            node.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(PATIENCE):
+                await node.process.wait()
+                await node.drain
+        assert not any("engine: ready" in line for line in node.log)
+        peer.handler = always(OK)
+        await node.start()
+        again = (await peer.got(2))[1]
+        assert again.headers["x-correlation-id"] == "held"
+    real.play(scene, tmp_path)
+
+
+def test_a_limit_that_shrinks_below_what_is_held_gives_up_the_last_by_a_notice(tmp_path: Path) -> None:
+    """As a buffer that fills does: the largest pile gives up its last in order, and the rest goes on."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        free = asyncio.Event()
+
+        async def slow(request: Request) -> Answer:
+            await free.wait()
+            return OK
+        peer = await real.target(platform, slow)
+        node = await real.node_on(folder, platform)
+        for name in "abc":
+            assert (await node.hand_in(name, "pay"))[0] == 202
+        await peer.got(1)
+        node.configure(settings={**SETTINGS, "allowed": {**SETTINGS["allowed"], "max_open": 2}})
+        node.process.send_signal(signal.SIGHUP)
+        while (status := (await node.hand_in(f"new-{len(node.log)}", "pay"))[0]) == 202:
+            await asyncio.sleep(0.01)
+        assert status == 503
+        free.set()
+        await peer.until(lambda: {"a", "b"} <= {r.headers["x-correlation-id"] for r in peer.requests})
+        assert (await platform.notice("c"))["state"] == "returned"
+        assert {n["id"] for n in platform.notices}.isdisjoint({"a", "b"})
+    real.play(scene, tmp_path)
+
+
+# What a restart finds taken on and untried
+
+
+@pytest.mark.parametrize("aim_us", [2 * SECOND, 40 * SECOND, 60 * SECOND])
+def test_what_a_restart_finds_untried_is_tried(tmp_path: Path, aim_us: int) -> None:
+    """Also where the aim is near the deadline, so that the expected call is a large part of the time that is left."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await real.target(platform, hang)
+        node = await real.node_on(folder, platform)
+        services = [{**s, "aim_us": aim_us} for s in SETTINGS["services"]]
+        node.configure(settings={**SETTINGS, "services": services})
+        await node.restart()
+        names = [f"m{n}" for n in range(12)]
+        for name in names:
+            assert (await node.hand_in(name, "turn", left="30", X_Session_Key=name))[0] == 202
+        await peer.got(1)
+        tried = {r.headers["x-correlation-id"] for r in peer.requests}
+        peer.handler = always(OK)
+        await node.restart()
+        untried = set(names) - tried
+        await peer.until(lambda: untried <= {r.headers["x-correlation-id"] for r in peer.requests})
+        assert untried and not untried & {n["id"] for n in platform.notices}
+    real.play(scene, tmp_path)
+
+
+# Any order of steps, against a plain model of what is owed
+
+
+class Paper(asyncio.Transport):
+    """A connection on paper: what is written is kept, and nothing comes by itself."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written, self.closed, self.reading = b"", False, True
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None: ...
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.written += data
+
+    def can_write_eof(self) -> bool:
+        return False
+
+    def is_reading(self) -> bool:
+        return self.reading
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def close(self) -> None:
+        self.closed = True
+
+    abort = close
+
+
+ANSWERS = {
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok": i.Outcome.DELIVERED,
+    b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n": i.Outcome.FAILED,
+    b"HTTP/1.1 429 X\r\nX-RateLimit-Wait-Ms: 700\r\nContent-Length: 0\r\n\r\n": i.Outcome.FULL,
+    b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n": i.Outcome.FULL,
+}
+BREAKS = ["end", "reset", "quiet", "time-out", "cancel"]
+
+
+def expected_end(answer: bytes, came: int, how: str) -> i.Outcome:
+    """What one call's end is, by the pages: of an answer of which so many bytes came before it ended so."""
+    if came == len(answer):
+        return ANSWERS[answer]
+    if how == "cancel":
+        return i.Outcome.CANCELED
+    if answer[:came].startswith(b"HTTP/1.1 200 OK\r\n"):
+        return i.Outcome.DELIVERED
+    if how == "time-out":
+        return i.Outcome.TIMED_OUT
+    return i.Outcome.UNREADABLE if came else i.Outcome.RESET
+
+
+@profile(derandomize=True, max_examples=150, deadline=None)
+@given(answer=st.sampled_from(sorted(ANSWERS)), cuts=st.lists(st.integers(0, 70), max_size=4),
+       came=st.integers(0, 70), breaks=st.lists(st.sampled_from(BREAKS), min_size=1, max_size=3))
+def test_a_call_has_one_end_in_any_order_of_steps(answer: bytes, cuts: list[int], came: int, breaks: list[str]) -> None:
+    came = min(came, len(answer))
+    ends: list[i.Ended] = []
+
+    async def run() -> None:
+        pool = Pool(Skewed(), ends.append, (), SECOND, SECOND, 10)
+        pool.serving({1: Address("127.0.0.1", 9)})
+        connection, far = Connection(pool), pool.clock() + DUE_US
+        connection.connection_made(Paper())
+        call = Call(1, (7, -1), pool.clock(), [Item("m", 0, None, b"x", far, far)])
+        pool.keep(connection, 1)
+        pool.start(call)
+        marks = sorted({0, came, *(cut for cut in cuts if cut < came)})
+        for first, last in zip(marks, marks[1:], strict=False):
+            connection.data_received(answer[first:last])
+        for how in breaks:
+            if how == "end":
+                connection.eof_received()
+                connection.connection_lost(None)
+            elif how == "reset":
+                connection.connection_lost(ConnectionResetError())
+            elif how == "quiet":
+                pool.fell_quiet(call) if came else pool.timed_out(call)
+            elif how == "time-out":
+                pool.timed_out(call)
+            else:
+                pool.cancel("m", 0)
+            if how in ("end", "reset"):
+                break
+        pool.idle.clear()
+    asyncio.run(run())
+    how = breaks[0] if came or breaks[0] != "quiet" else "time-out"
+    assert [e.outcome for e in ends] == [expected_end(answer, came, how)]
+
+
+@profile(derandomize=True, max_examples=150, deadline=None)
+@given(steps=st.lists(st.sampled_from(["message", "half", "rest", "junk", "answer", "let go", "half-close", "gone"]),
+                      max_size=14))
+def test_a_clients_connection_owes_each_whole_request_one_answer(steps: list[str]) -> None:
+    """In their order, as long as it may: nothing that comes after the close, after junk or after the client's end is
+    handed on, and nobody is answered twice."""
+    handed: list[tuple[str, Door]] = []
+
+    async def run() -> None:
+        server = Server(settings_of(SETTINGS), Skewed(), 10, lambda got, door: handed.append((got.id, door)))
+        paper, door = Paper(), Door(server)
+        door.connection_made(paper)
+        asked = answered = number = 0
+        half, open_ = False, True
+        for step in steps:
+            whole_request = message(f"m{number}")
+            if paper.closed or not open_:
+                break
+            if step == "message" and not half or step == "rest" and half:
+                door.data_received(whole_request[20:] if half else whole_request)
+                half, number, asked = False, number + 1, asked + 1
+            elif step == "half" and not half:
+                door.data_received(whole_request[:20])
+                half = True
+            elif step == "junk" and not half:
+                door.data_received(b"what is this\r\n\r\n")
+                break
+            elif step == "answer" and len(handed) > answered:
+                handed[answered][1].answer(HTTPStatus.ACCEPTED)
+                answered += 1
+                await asyncio.sleep(0)
+            elif step == "let go":
+                idle = len(handed) == answered and asked == answered and not half
+                server.let_go()
+                assert paper.closed == (idle and door.asked)
+            elif step in ("half-close", "gone"):
+                if step == "gone":
+                    door.connection_lost(None)
+                else:
+                    door.eof_received()
+                open_ = False
+        assert len(handed) <= answered + 1  # one at a time
+        while open_ and not paper.closed and len(handed) > answered:
+            handed[answered][1].answer(HTTPStatus.ACCEPTED)
+            answered += 1
+            await asyncio.sleep(0)
+        assert [name for name, _ in handed] == [f"m{n}" for n in range(len(handed))]
+        if open_:
+            assert answered == asked == paper.written.count(b"HTTP/1.1 202")
+    handed.clear()
+    asyncio.run(run())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -20,7 +20,7 @@
 from lemonshunt.net.store import MOST_ENDED, Store, Taken
 from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings
-from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Request, always, hang, message
+from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Request, Skewed, always, hang, message
 
 ORDER = settings(SETTINGS).classes[0]
 
@@ -157,15 +157,6 @@
     asyncio.run(scene())
 
 
-class Skewed(Clock):
-    """A clock that a test puts forward."""
-
-    skew = 0
-
-    def __call__(self) -> int:
-        return super().__call__() + self.skew
-
-
 class HalfWritten(asyncio.Transport):
     """A transport whose peer takes no more."""
 
