--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -402,7 +402,7 @@
     def leave_by(self, m: Message) -> int:
         """By when a further attempt has to leave: of one that may have run, within its window if it has one."""
         free = m.ran_at < 0 or m.cls.effect is i.Effect.REPEATABLE
-        return NEVER if free else m.ran_at + (m.cls.window_us if m.cls.effect is i.Effect.KEYED else 0)
+        return NEVER if free else m.ran_at + m.cls.window_us if m.cls.effect is i.Effect.KEYED else 0
 
     def usable(self, m: Message) -> list[Target]:
         """Serving targets of the message's destination within its key's scope."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -31,7 +31,7 @@
 from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings as settings_of
 from tests import test_node as real
-from tests.scripts import ENTRIES, MS, S, ask, end, sends, settings
+from tests.scripts import ENTRIES, MS, S, ask, end, finals, sends, settings
 from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Platform, Request, Skewed, always, hang, message
 
 SECOND = 1_000_000
@@ -722,3 +722,12 @@
             assert answered == asked == paper.written.count(b"HTTP/1.1 202")
     handed.clear()
     asyncio.run(run())
+
+
+def test_a_clock_that_was_set_back_lets_nothing_run_twice() -> None:
+    """Its first attempt was sent at a time that is still to come: what must not run twice has no time to go again."""
+    d = Dispatcher(settings(), 1, 0)
+    actions = d.handle(0, [
+        i.Listed(i.ListKind.SAVED, ENTRIES[:1]),
+        i.Recalled("m", 10, d.classes["once"], 6 * S, None, None, 1, 3600 * S, ENTRIES[0].target, False)])
+    assert not sends(actions) and [type(a) for a in finals(actions)] == [i.Fail]
