Give a test's process two ports that differ, and tell its log if it never starts

The process's log was not kept, so the cause is not proven.

Suspected, and measured: Node took its two ports one after the other, and the second may be the first again: 14 of 200,000 pairs, about one in 25 runs of all tests. Such a process serves operators at the address that it then wants for clients, and ends after 5 s.

Now both sockets are held until both ports are known, and a start that fails tells the process's log.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -184,9 +184,16 @@
 
 
 def free_port(host: str = "127.0.0.1") -> int:
-    with socket.socket() as s:
-        s.bind((host, 0))
-        return int(s.getsockname()[1])
+    return free_ports(1, host)[0]
+
+
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Ports that are free just now, all different: had one after the other, two might be the same."""
+    held = [socket.create_server((host, 0)) for _ in range(count)]
+    ports = [int(s.getsockname()[1]) for s in held]
+    for s in held:
+        s.close()
+    return ports
 
 
 def own_host() -> str:
@@ -223,7 +230,7 @@
     def __init__(self, folder: Path, platform: Platform, known: dict[str, Any] | None = None,
                  disk_mb: float = 3, discovery: str = "on_request", **allowed: Any) -> None:
         self.folder, self.host = folder, own_host()
-        self.port, self.control = free_port(self.host), free_port(self.host)
+        self.port, self.control = free_ports(2, self.host)
         self.log: list[str] = []
         self.arguments: list[str] = []
         (folder / "state").mkdir(exist_ok=True)
@@ -259,8 +266,11 @@
         return self
 
     async def until_ready(self) -> None:
-        async with asyncio.timeout(PATIENCE):
-            await self.ready.wait()
+        try:
+            async with asyncio.timeout(PATIENCE):
+                await self.ready.wait()
+        except TimeoutError:
+            raise TimeoutError("".join(self.log)) from None
 
     async def read_log(self) -> None:
         assert self.process.stderr is not None
