Start a test's call on a plain target in one place

Need: two tests of test_endings.py shared nine lines that begin a call and take its connection (found by reading the change once more).

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -338,8 +338,20 @@
     def address(self) -> Address:
         return Address(*self.listener.getsockname())
 
-    async def accept(self) -> socket.socket:
-        return (await asyncio.get_running_loop().sock_accept(self.listener))[0]
+    def pool(self, ends: list[i.Ended]) -> Pool:
+        """A pool whose target 1 this is."""
+        pool = Pool(Skewed(), ends.append, (), 60 * SECOND, SECOND, 10)
+        pool.serving({1: self.address})
+        return pool
+
+    async def carry(self, pool: Pool, name: str) -> socket.socket:
+        """Start a call, which must come on a new connection, and return that."""
+        far = pool.clock() + DUE_US
+        pool.start(Call(1, (7, -1), pool.clock(), [Item(name, 0, None, b"x", far, far)]))
+        sock, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        sock.setblocking(False)
+        assert b"X-Correlation-Id: " + name.encode() in await self.request(sock)
+        return sock
 
     @staticmethod
     async def request(sock: socket.socket) -> bytes:
@@ -364,14 +376,9 @@
     """The answer to no call was taken for the next one's; an end, for a call that may have run."""
     async def scene(platform: Platform) -> None:
         ends: list[i.Ended] = []
-        clock, wire = Skewed(), Wire()
-        pool = Pool(clock, ends.append, (), 60 * SECOND, SECOND, 10)
-        pool.serving({1: wire.address})
-        far = clock() + DUE_US
-        pool.start(Call(1, (7, -1), clock(), [Item("a", 0, None, b"x", far, far)]))
-        first = await wire.accept()
-        first.setblocking(False)
-        assert b"X-Correlation-Id: a" in await wire.request(first)
+        wire = Wire()
+        pool = wire.pool(ends)
+        first = await wire.carry(pool, "a")
         first.send(WHOLE)
         while not ends:
             await asyncio.sleep(0.005)
@@ -383,10 +390,7 @@
             first.shutdown(socket.SHUT_WR)
         else:
             wire.reset(first)
-        pool.start(Call(1, (7, -1), clock(), [Item("b", 0, None, b"x", far, far)]))
-        second = await wire.accept()
-        second.setblocking(False)
-        assert b"X-Correlation-Id: b" in await wire.request(second)
+        second = await wire.carry(pool, "b")
         assert len(ends) == 1
         second.send(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
         while len(ends) < 2:
@@ -412,14 +416,9 @@
     bytes along that the forwarder has not read; then as much is believed as came."""
     async def scene(platform: Platform) -> None:
         ends: list[i.Ended] = []
-        clock, wire = Skewed(), Wire()
-        pool = Pool(clock, ends.append, (), 60 * SECOND, SECOND, 10)
-        pool.serving({1: wire.address})
-        far = clock() + DUE_US
-        pool.start(Call(1, (7, -1), clock(), [Item("a", 0, None, b"x", far, far)]))
-        sock = await wire.accept()
-        sock.setblocking(False)
-        await wire.request(sock)
+        wire = Wire()
+        pool = wire.pool(ends)
+        sock = await wire.carry(pool, "a")
         if answer:
             sock.send(answer)
             while not ends and not any(c.connection and c.connection.seen == answer for c in pool.calls.values()):
