--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -730,3 +730,49 @@
         i.Listed(i.ListKind.SAVED, ENTRIES[:1]),
         i.Recalled("m", 10, d.classes["once"], 6 * S, None, None, 1, 3600 * S, ENTRIES[0].target, False)])
     assert not sends(actions) and [type(a) for a in finals(actions)] == [i.Fail]
+
+
+# Another customer's settings
+
+
+OTHER: dict[str, Any] = {
+    "allowed": {"conn_idle_us": 2_000_000, "dial_timeout_us": 700_000, "max_attempts": 3, "max_open": 8,
+                "may_cancel": True},
+    "balancers": 3, "discovery": "pushed", "host_types": ["sea", "rail"], "zones": ["west", "east"], "zone": "east",
+    "contract": {"grace_to_answer_us": 5_000, "drain_grace_us": 200_000, "ask_within_us": 10_000_000},
+    "family_info": {"slots": 2, "kind_batch": [1, 2], "routes_apart": [True, False], "carriage": [0.1, 0.0]},
+    "orgs": [{"name": "north", "allowance_per_s": 50.0, "fraction": 1.0}], "over_share_worth": 0.2,
+    "services": [
+        {"name": "waybill", "aim_us": 9_000_000, "deadline_us": 12_000_000, "effect": "by_key",
+         "key_scope": "zone", "window_us": 6_000_000},
+        {"name": "pickup-call", "aim_us": 9_000_000, "deadline_us": 10_000_000, "effect": "once", "by_arrival": True},
+    ],
+    "telemetry": {"fields": [], "how": "silent"}, "weight_source": "silent",
+}
+
+
+def test_other_names_effects_and_limits_hold_from_the_settings_alone(tmp_path: Path) -> None:
+    """A keyed message that may have run goes again, twice, within its zone only, though the other zone's endpoint is
+    free; its class keeps no order and its clients send no session key. Classes of this site's are unknown there."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        answers = [None, None, OK]
+
+        async def answer(request: Request) -> Answer | None:
+            return answers.pop(0) if len(answers) > 1 else OK
+        peers = [await real.target(platform, answer, zone, kind="sea") for zone in ("west", "east")]
+        for zone in ("west", "east"):
+            platform.hosts[zone]["site"] = zone
+        node = real.Node(folder, platform)
+        node.configure(settings=OTHER)
+        await node.start()
+        real.folder_nodes[-1].append(node)
+        own = {"X_Account": "north", "X_Session_Key": None, "left": "10"}
+        assert (await node.hand_in("a", "waybill", Idempotency_Key="0f", **own))[0] == 202
+        await asyncio.wait([asyncio.create_task(peer.got(3)) for peer in peers], return_when="FIRST_COMPLETED")
+        assert sorted(len(peer.requests) for peer in peers) == [0, 3]
+        assert {r.headers["idempotency-key"] for peer in peers for r in peer.requests} == {"0f"}
+        assert (await node.hand_in("b", "pickup-call", **own | {"X_Session_Key": "k"}))[0] == 202
+        assert [(await node.hand_in("c", "order"))[0], (await node.hand_in("d", "waybill"))[0]] == [404, 400]
+        assert await node.end(signal.SIGTERM) == 0
+        assert not platform.notices
+    real.play(scene, tmp_path)
