Read what crosses the giving up of a call, and tell its end as the connection is gone

A call that was given up (time-out, cancel, an answer that stands still) had its end told first; then its connection was aborted, which asyncio carries out in the loop's next turn (client.py: Pool.give_up, Pool.drop, Pool.fell_quiet). What lay in the kernel by then, or came until the close, was thrown away unread: a 429 whose wait counts as told from its writing, a delivery, a refusal that never ran.

Change: one way for all of them. The connection is aborted with its call still on it; as it is lost, what is unread is read, and then the call has its end, by the answer if that is whole. An upgrade settles such calls before it hands over: they were handed over as calls without a connection, which the next process takes for ones that never ran.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -87,6 +87,7 @@
     def __init__(self, pool: Pool, call: Call | None = None, seen: bytes = b"") -> None:
         self.pool, self.idle_us = pool, 0
         self.call = call
+        self.given_up: Outcome | None = None
         self.seen = bytearray(seen)  # of the answer that is being read
         self.transport: asyncio.Transport | None = None
         self.reader = ResponseReader()
@@ -137,6 +138,13 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def give_up(self, outcome: Outcome) -> None:
+        """Wait no longer for the answer to a call. Its end is told as the connection is gone, and not before: an answer
+        that crosses the close was written, so the wait that it tells holds."""
+        if self.given_up is None:
+            self.given_up = outcome
+        self.close()
+
     def data_received(self, data: bytes) -> None:
         self.seen += data
         self.read(data)
@@ -177,11 +185,17 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.pool.lost(self)
+        self.settle()
+        self.reader.release()
+
+    def settle(self) -> None:
+        """It is as good as closed: what came before counts, read or not, and then its call has its end."""
+        if self.call is not None and (rest := unread(self.transport)):
+            self.read(rest)
         call, self.call = self.call, None
         if call is not None:
             call.connection = None
-            self.pool.ended(call, self.reader, broken=True)
-        self.reader.release()
+            self.pool.broke_off(call, self.reader, self.given_up)
 
 
 class Pool:
@@ -303,8 +317,8 @@
     def fell_quiet(self, call: Call) -> None:
         """The rest of an answer does not come: what is there counts as if the connection had broken here, so
         that its slot is free for others."""
-        if call.connection is not None and call.open:
-            self.ended(call, call.connection.reader, broken=True)
+        if call.connection is not None:
+            call.connection.close()
 
     @staticmethod
     def disarm(call: Call) -> None:
@@ -327,11 +341,7 @@
             call.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.timed_out, call)
 
     def timed_out(self, call: Call) -> None:
-        connection = call.connection
-        if connection is not None and connection.reader.says_ok() and not call.batched:
-            self.ended(call, connection.reader, broken=True)  # delivered, whatever the rest
-        else:
-            self.give_up(call, list(call.open.values()), Outcome.TIMED_OUT)
+        self.give_up(call, list(call.open.values()), Outcome.TIMED_OUT)
 
     def cancel(self, message: str, attempt: int) -> None:
         call = self.calls.get((message, attempt))
@@ -341,14 +351,25 @@
     def give_up(self, call: Call, items: list[Item], outcome: Outcome) -> None:
         """Stop waiting for some messages of a call. With none left its connection is closed: a late answer
         must not be taken for the next call's."""
-        sent = call.connection is not None and call.written
+        if call.connection is not None and len(items) == len(call.open):
+            call.connection.give_up(outcome)
+            return
         for item in items:
-            self.tell(call, item, Result(outcome if sent else Outcome.NO_CONNECTION))
+            self.tell(call, item, Result(outcome if call.written else Outcome.NO_CONNECTION))
         if call.open:
             self.arm(call)
         else:
             self.drop(call)
 
+    def broke_off(self, call: Call, reader: ResponseReader, given_up: Outcome | None) -> None:
+        """The connection of a call is gone before its answer was whole: by itself, or as the call was given up. One
+        that waited in vain for the rest of a delivery is delivered."""
+        delivered = given_up is Outcome.TIMED_OUT and reader.says_ok() and not call.batched
+        if given_up is None or delivered:
+            self.ended(call, reader, broken=True)
+        else:
+            self.finish(call, Result(given_up if call.written else Outcome.NO_CONNECTION))
+
     def drop(self, call: Call) -> None:
         self.disarm(call)
         if call.connection is not None:
@@ -424,6 +445,11 @@
 
     # Upgrades
 
+    def settle(self) -> None:
+        """End the calls whose connections are closing now, and not in the loop's next turn, which may never come."""
+        for connection in [c for c in self.all if c.closing()]:
+            connection.settle()
+
     def hand_over(self) -> tuple[dict[str, Any], list[Connection]]:
         """What is out and what is idle, for the process that takes over, and the connections to go with it.
         A call whose last byte is not written yet is not among the connections: it will never run."""
@@ -510,6 +536,20 @@
             connection.close()
 
 
+def unread(transport: asyncio.Transport | None) -> bytes:
+    """What has come on a connection and is not read yet; nothing where it cannot be read any more."""
+    sock = None if transport is None else transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return b""
+    borrowed = socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
+    try:
+        return borrowed.recv(2 * MOST_BODY)
+    except OSError:
+        return b""
+    finally:
+        borrowed.detach()
+
+
 def batch_body(items: list[Item]) -> bytes:
     return json.dumps([
         {"id": item.id, **({} if item.batch_key is None else {"key": item.batch_key}),
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -718,6 +718,7 @@
         """Another process takes over. The loop stands still here, so all that arrives waits for its owner."""
         if self.leaving_s or self.closed:
             return
+        self.pool.settle()
         self.round()
         if self.arriving or self.events:
             self.round()  # what the first one brought about
