Count calls of messages that may not be repeated where each has to be sent once

Its messages were of a class that may be repeated; where the machine stalls, a call of such a message times out after some tens of milliseconds and rightly goes again, so "each was sent once" rested on timing.

Change: the same test with a class that may not be repeated. That is as strict, and holds however slow the machine is: a second call of such a message breaks a rule.

--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -10,6 +10,9 @@
 from enum import Enum
 from typing import Protocol
 
+NEVER = 1 << 62
+"""A time that does not come."""
+
 
 class Effect(Enum):
     """What a second run of a message of this class would do."""
@@ -368,7 +371,7 @@
     message: str
     target: int
     timeout_us: int
-    leave_by_us: int = 1 << 62
+    leave_by_us: int = NEVER
     """Its bytes may not leave at this time or later: the window in which it may be repeated is over then."""
 
 
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -20,6 +20,7 @@
 from lemonshunt.interface import Outcome
 from lemonshunt.net.config import Address
 from lemonshunt.net.http import MOST_BODY, BadAnswer, ResponseReader, load_report, request, wait_us
+from lemonshunt.net.listen import fileno
 
 IDLE_MARGIN_US = 700_000  # an idle connection is closed so long before its target would: a reset costs a try
 SWEEP_S = 0.2
@@ -46,7 +47,7 @@
     due_us: int
     """Its time is up then, and its end is owed."""
     idempotency_key: str | None = None
-    leave_by_us: int = 1 << 62
+    leave_by_us: int = i.NEVER
     """It may not leave at this time or later."""
 
     @property
@@ -91,11 +92,14 @@
         self.seen = bytearray(seen)  # of the answer that is being read
         self.transport: asyncio.Transport | None = None
         self.reader = ResponseReader()
+        self.unread = select.poll()  # one for all calls on it: what has come and is not read yet
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         transport.set_write_buffer_limits(0)  # so that resume_writing tells that the last byte is out
         self.transport = transport
+        if transport.get_extra_info("socket") is not None:
+            self.unread.register(fileno(transport), select.POLLIN)
         if self.call is not None:  # another process wrote it
             self.call.connection = self
             if self.seen:
@@ -127,12 +131,7 @@
     def spoilt(self) -> bool:
         """Whether bytes or an end have come that are not read yet. Read after a call is written they would be taken
         for its answer, or for the end of a call that never arrived."""
-        sock = None if self.transport is None else self.transport.get_extra_info("socket")
-        if sock is None:
-            return False
-        unread = select.poll()
-        unread.register(sock.fileno(), select.POLLIN)
-        return bool(unread.poll(0))
+        return bool(self.unread.poll(0))
 
     def close(self) -> None:
         if self.transport is not None:
--- a/lemonshunt/net/files.py
+++ b/lemonshunt/net/files.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import logging
 import os
 import zlib
 from collections.abc import Iterator
@@ -20,7 +19,6 @@
 MOST_ASIDE = 2  # damaged files kept of earlier starts, beside those of this one
 NEW_JOURNAL, NEW_SNAPSHOT = "journal.new", "snapshot.new"
 Line = tuple[Any, ...]
-log = logging.getLogger("lemonshunt.files")
 
 
 class Writing:
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -64,6 +64,11 @@
     """By which endpoints know a repeat; passed on as it came."""
 
 
+def readable(text: str, most: int) -> bool:
+    """Whether a header's value can be kept and passed on as it came."""
+    return len(text) <= most and text.isascii() and text.isprintable()
+
+
 def message(request: Request, settings: i.Settings) -> Handed:
     """Read a message from a request, or say what is wrong with it."""
     name, bad = request.path.partition("?")[0].strip("/"), HTTPStatus.BAD_REQUEST
@@ -74,7 +79,7 @@
         raise BadRequest(HTTPStatus.METHOD_NOT_ALLOWED, "messages are handed in by POST")
     h = request.headers
     ident = h.get("x-correlation-id", "")
-    if not 0 < len(ident) <= 128 or not ident.isascii() or not ident.isprintable() or " " in ident:
+    if not ident or not readable(ident, 128) or " " in ident:
         raise BadRequest(bad, "X-Correlation-Id is missing or malformed")
     try:
         left = float(h["x-time-left"])
@@ -86,10 +91,10 @@
     if dest is None:
         raise BadRequest(bad, "X-Addressing names no destination")
     key = h.get("x-session-key")
-    if key is not None and (len(key) > 256 or not key.isascii() or not key.isprintable()):
+    if key is not None and not readable(key, 256):
         raise BadRequest(bad, "X-Session-Key is malformed")
     once_key = h.get("idempotency-key")
-    if once_key is not None and (len(once_key) > 256 or not once_key.isascii() or not once_key.isprintable()):
+    if once_key is not None and not readable(once_key, 256):
         raise BadRequest(bad, "Idempotency-Key is malformed")
     tenant = h.get("x-account")
     if settings.tenants and tenant not in {t.name for t in settings.tenants}:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -115,6 +115,14 @@
     return handler
 
 
+def once(free: asyncio.Event) -> Handler:
+    """Answers as soon as a test lets it."""
+    async def handler(request: Request) -> Answer:
+        await free.wait()
+        return OK
+    return handler
+
+
 async def hang(request: Request) -> None:
     await asyncio.sleep(3600)
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -32,7 +32,20 @@
 from lemonshunt.wirehost import settings as settings_of
 from tests import test_node as real
 from tests.scripts import ENTRIES, MS, S, ask, end, finals, sends, settings
-from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Platform, Request, Skewed, always, hang, message
+from tests.sockets import (
+    OK,
+    PATIENCE,
+    SETTINGS,
+    Answer,
+    Peer,
+    Platform,
+    Request,
+    Skewed,
+    always,
+    hang,
+    message,
+    once,
+)
 
 SECOND = 1_000_000
 DUE_US = 50 * SECOND
@@ -582,11 +595,7 @@
 def test_a_second_sigterm_changes_nothing_of_the_first(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         free = asyncio.Event()
-
-        async def slow(request: Request) -> Answer:
-            await free.wait()
-            return OK
-        peer = await real.target(platform, slow)
+        peer = await real.target(platform, once(free))
         node = await real.node_on(folder, platform)
         assert (await node.hand_in("out", "pay"))[0] == 202
         await peer.got(1)
@@ -630,11 +639,7 @@
     """As a buffer that fills does: the largest pile gives up its last in order, and the rest goes on."""
     async def scene(platform: Platform, folder: Path) -> None:
         free = asyncio.Event()
-
-        async def slow(request: Request) -> Answer:
-            await free.wait()
-            return OK
-        peer = await real.target(platform, slow)
+        peer = await real.target(platform, once(free))
         node = await real.node_on(folder, platform)
         for name in "abc":
             assert (await node.hand_in(name, "pay"))[0] == 202
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -113,7 +113,7 @@
             n = 0
             while not stop.is_set():
                 name = f"c{number}-{n}"
-                status, _ = await node.hand_in(name, "status")
+                status, _ = await node.hand_in(name, "pay")
                 assert status == 202
                 taken.add(name)
                 n += 1
