Ask for the list again after 4 s at most, since its news counts as told after 6 s

The pauses after failed questions grew to 4 s and up to 4 s more by chance (choice.py, listed), so after four failures running an endpoint that was drained in that time could get calls for 2 s too long.

Change: the pauses grow to 2 s and up to 2 s more. The first three, all that an outage of 8 s sees, are as they were.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -71,7 +71,7 @@
 LEAST_AWAY_US = SECOND  # a refused client always hears when to come back, and not at once
 MOST_TARGETS = 2000  # known at most, those long gone among them
 BUFFER_MARK = 0.85  # share of the buffer above which the largest pile is cut
-ASK_AGAIN_US = 500_000  # first pause before asking for the list again; doubles up to eight times this
+ASK_AGAIN_US = 500_000  # first pause before asking for the list again; up to four times this: news counts after 6 s
 PURSE_US = 2 * SECOND  # a tenant may run ahead of its share by this much
 PURSE_LEAST = 4.0  # messages, and by these at least: our part of a share may be far under one
 
@@ -221,7 +221,7 @@
         """Follow the list. A drained or gone target gets nothing new from this round on."""
         if event.kind is i.ListKind.FAILED:
             self.agenda.add(self.now + self.ask_pause + self.random.randrange(self.ask_pause), THE_LIST)
-            self.ask_pause = min(2 * self.ask_pause, 8 * ASK_AGAIN_US)
+            self.ask_pause = min(2 * self.ask_pause, 4 * ASK_AGAIN_US)
             return
         self.ask_pause, self.lists = ASK_AGAIN_US, self.lists + 1
         if event.kind is not i.ListKind.CHANGES:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -334,6 +334,25 @@
     assert discovery.LATE_S + 2 * ASK_AGAIN_US / SECOND < TOLD_AFTER_S - 0.1
 
 
+TOLD_ANYWAY_S = 6.0
+"""The standing page: whatever else is allowed, a change counts as told so long after discovery had it and could be
+reached."""
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_after_any_failures_the_list_is_asked_for_before_its_news_counts_as_told(seed: int) -> None:
+    """Discovery refuses at once, and is back just after a question. The pauses grew to 8 s."""
+    d, now = Dispatcher(settings(subscribe=True), seed, 0), 0
+    assert any(isinstance(a, i.Subscribe) for a in d.handle(now, []))
+    for _ in range(12):
+        failed = now
+        actions = d.handle(now, [i.Listed(i.ListKind.FAILED)])
+        while not any(isinstance(a, i.Subscribe) for a in actions):
+            now += 5 * MS
+            actions = d.handle(now, [])
+        assert 0.4 < (now - failed) / S < TOLD_ANYWAY_S - 1.5
+
+
 class Quiet(Platform):
     """Discovery whose next watches fall silent, as they are asked or in the middle of their answer."""
 
