Let rests grow with the fleet, and spread told waits by them where no limit is told

After a told wait each forwarder came back within as long again, however often it had been refused (choice.py, told_wait); and rests grew with the fleet up to 80 forwarders only (CROWD_TOP in learn), so 208 came back as often as 80 would.

Change: where a place has told no limit, the random part after a told wait is as long as the rest that has grown, if that is longer; the first rest is REST_US times balancers over FEW, with no top. Both follow from the settings' number of forwarders and from what is told.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -60,7 +60,6 @@
 SHARE_RATE = 2.0  # the logarithm of a share of many changes by this in a second, times what is left over it
 SPARE_RATE = 2.0  # times what is left over it: the logarithm by which many call faster at once
 BURST_US = 700_000  # the pace lets through at once what it earns in this time
-CROWD_TOP = 10  # with many forwarders rests are longer, by up to this much: each retry meets all others'
 IDLE_LEAST_US = 200_000  # a connection without use for longer counts as idle; so long all are trusted
 IDLE_GROW = 64  # a call that goes well lengthens by this part how long idle connections are trusted
 FEW = 8  # forwarders; where more share the targets, what all do at once adds up: connections, returns
@@ -457,8 +456,9 @@
 
     def told_wait(self, place: Place, wait_us: int) -> None:
         place.wait_until = max(place.wait_until, self.now + wait_us)
-        if wait_us and self.many:  # a wait ends for all at once
-            place.rest_until = place.wait_until + int(self.random.random() * wait_us)
+        if wait_us and self.many:  # a wait ends for all at once, and where no limit is told only rests thin them out
+            spread = max(wait_us, 0 if place.limit else place.rest)
+            place.rest_until = place.wait_until + int(self.random.random() * spread)
 
     def reported(self, place: Place, report: i.LoadReport) -> None:
         """Of many forwarders each follows what the limit has left: all use it up together, and each is told
@@ -522,7 +522,7 @@
             place.window, place.cut_at = max(1.0, place.window / 2), self.now
         if cut and outcome is Outcome.FULL:
             place.share = max(SHARE_LEAST / self.size, place.share * SHARE_CUT)
-            crowd = max(1, min(CROWD_TOP, self.s.balancers // FEW))
+            crowd = max(1, self.s.balancers // FEW)  # each retry meets all others'
             place.rest = min(crowd * REST_TOP_US, max(crowd * REST_US, REST_TIMES * place.rest))
         if outcome is Outcome.FULL and not wait_us:
             rest = int(place.rest * self.random.uniform(0.5, 1.5))
