Let the lab play destinations that tell nobody their limit

Reason: the lab's endpoints always reported their limit, and its settings always told what destinations take.

Nothing of the program is touched.

Tests: 16 real processes, limits to half under them, a third killed: no rule broken, 429s and deliveries counted; the settings that the program reads from both scenarios; the report.

--- a/lab/model.py
+++ b/lab/model.py
@@ -71,6 +71,8 @@
     chance: random.Random
     wait_s: tuple[float, float]
     limit: Limit | None = None
+    tells: bool = True
+    """Its answers report the limit."""
 
     def __post_init__(self) -> None:
         if self.told.limit and self.limit is None:
@@ -86,7 +88,7 @@
         return self.chance.uniform(*self.wait_s) if self.chance.random() < self.told.tells_wait else 0.0
 
     def report(self) -> str | None:
-        return None if self.limit is None else f"x0={self.limit.told:.3f},x1={self.limit.rate:.3f}"
+        return None if self.limit is None or not self.tells else f"x0={self.limit.told:.3f},x1={self.limit.rate:.3f}"
 
 
 @dataclass(slots=True)
--- a/lab/run.py
+++ b/lab/run.py
@@ -84,8 +84,10 @@
 def facts(plan: Plan) -> dict[str, Any]:
     """The settings of the forwarders, in the wire's names."""
     s = plan.scenario
+    tells = s.endpoints.tells_limits
     return {
-        "balancers": len(plan.nodes), "discovery": "pushed", "host_types": list(KINDS), "weight_source": "rough",
+        "balancers": len(plan.nodes), "discovery": "pushed", "host_types": list(KINDS),
+        "weight_source": "rough" if tells else "silent",
         "allowed": {"conn_idle_us": 5_000_000, "dial_timeout_us": 1_000_000, "max_attempts": 8,
                     "max_open": s.fleet.max_open, "max_retry_after_us": 3_000_000, "retry_after": True,
                     "may_cancel": True, "may_tell": True, "probes": False},
@@ -99,7 +101,7 @@
              "effect": "once" if name == ONCE else "repeatable", "gain": WORTH[name],
              "late_worth": LATE_WORTH[name], **({"by_arrival": True} if name == ONCE else {})}
             for name in (STATUS, ONCE)],
-        "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"},
+        "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"} if tells else {"fields": [], "how": "silent"},
     }
 
 
@@ -121,8 +123,8 @@
         self.front = Front(plan, self.net, self.record,
                            {name: (address("node", n), self.port) for n, name in enumerate(plan.nodes)})
         self.clients = Clients(plan, self.front, self.record, self.heard_of)
-        self.shops = {d.number: Shop(d, random.Random(f"{s.seed}/shop{d.number}"), s.endpoints.wait_s)
-                      for d in plan.destinations}
+        self.shops = {d.number: Shop(d, random.Random(f"{s.seed}/shop{d.number}"), s.endpoints.wait_s,
+                                     tells=s.endpoints.tells_limits) for d in plan.destinations}
         self.sites: dict[str, Site] = {}
         self.nodes: dict[str, Node] = {}
         self.launcher = Launcher()
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -93,6 +93,8 @@
     batch: Count = 5
     unlimited_share: Share = 0.2
     """Share of the destinations that have no limit but their capacity."""
+    tells_limits: bool = True
+    """Answers report the limit and what is left of it, and the list what a destination takes; else nothing does."""
 
 
 class Fault(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -122,6 +122,21 @@
     assert "*" in shown.output.splitlines()[0] and (tmp_path / "gates.png").stat().st_size > 10_000
 
 
+def test_where_nothing_tells_a_limit_no_rule_breaks_and_service_goes_on(tmp_path: Path) -> None:
+    """Every limit falls to half while sixteen forwarders are at them, a third of these is killed, and all refusals tell
+    a wait."""
+    told = scenario(Fault(at_s=3.0, kind="limit", share=1.0, times=0.5, for_s=60.0),
+                    Fault(at_s=6.0, kind="kill", share=0.33, back_s=0.3), seed=3,
+                    fleet=Fleet(nodes=16, endpoints=8, destinations=4), load=Load(per_node_s=2.0, of_limits=0.8),
+                    time=Time(warm_s=2.0, load_s=14.0, drain_s=8.0),
+                    endpoints=Endpoints(tells_limits=False, told_share=1.0, wait_s=(0.5, 1.0), unlimited_share=0.0))
+    result, lab = play(told, tmp_path)
+    assert result.findings == []
+    calls = Counter(e.status for e in events(lab, "answered"))
+    assert calls[200] > 100 and calls[429] > 20, "the limits bind"
+    assert result.figures["delivered"] > 0.3 * result.figures["asked"]
+
+
 @pytest.mark.parametrize(("rooms", "needless"), [((True, True, True), 3.0), ((True, False, True), 0.0), ((), 0.0)])
 def test_seconds_are_needless_only_where_there_was_room_all_the_time(rooms: tuple[bool, ...], needless: float) -> None:
     said = 'ok {"held":[[7,"refusjon","window",%d]],"refused":[[7,"refusjon","window",%d]]}'
--- a/tests/test_lab_net.py
+++ b/tests/test_lab_net.py
@@ -196,10 +196,20 @@
     assert len(one.acts[0].names) == 14 and len(set(one.acts[0].names)) == 14
 
 
-def test_the_settings_are_those_that_the_program_reads() -> None:
-    known = settings(facts(plan.make(scenario.load(HERD, 20, 1))))
+@pytest.mark.parametrize(("name", "told"), [("herd", True), ("untold", False)])
+def test_the_settings_are_those_that_the_program_reads(name: str, told: bool) -> None:
+    made = plan.make(scenario.load(HERD.with_name(f"{name}.toml"), 20, 1))
+    known = settings(facts(made))
     assert (known.balancers, known.max_attempts, known.fall_us) == (20, 8, 2_000_000)
     assert [c.name for c in known.classes] == ["statusvarsel", "refusjon"] and known.classes[1].in_order
+    assert known.weights_told == made.scenario.endpoints.tells_limits == told
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_a_destination_reports_its_limit_only_where_it_tells(told: bool) -> None:
+    one = next(d for d in plan.make(Scenario("x")).destinations if d.limit)
+    report = Shop(one, plan.random.Random(1), (1.0, 1.0), tells=told).report()
+    assert report == (f"x0=1.000,x1={one.limit:.3f}" if told else None)
 
 
 @pytest.mark.parametrize(("text", "named"), [
