Log descriptors, the list's version, and why connections closed and requests were refused

Cause: the evidence of the incident could not tell how many descriptors there were and were open, why client connections were closed, which list a process went by when its first call left, or why a call was repeated. Change: a line at the start with the configured and allowed descriptors and the shares of both sides; one when discovery first tells a list, with the number of calls made before; reasons of every close, retry and refusal, counted, and logged once a second at most with the last request or peer.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -21,6 +21,7 @@
 from lemonshunt.net.config import Address
 from lemonshunt.net.http import MOST_BODY, BadAnswer, ResponseReader, load_report, request, wait_us
 from lemonshunt.net.listen import fileno
+from lemonshunt.net.reasons import Reasons, Subject
 
 IDLE_MARGIN_US = 700_000  # an idle connection is closed so long before its target would: a reset costs a try
 SWEEP_S = 0.2
@@ -117,7 +118,7 @@
         for: not a byte of the call has left then."""
         assert self.transport is not None
         if self.spoilt():
-            self.close()
+            self.close("bytes or an end that nothing asked for")
             return False
         self.reader.renew()
         self.seen.clear()
@@ -133,8 +134,9 @@
         for its answer, or for the end of a call that never arrived."""
         return bool(self.unread.poll(0))
 
-    def close(self) -> None:
+    def close(self, reason: str = "on demand") -> None:
         if self.transport is not None:
+            self.pool.reasons.note(Subject.ENDPOINT_CLOSED, reason, str(self.transport.get_extra_info("peername")))
             self.transport.abort()
 
     def give_up(self, outcome: Outcome) -> None:
@@ -142,7 +144,7 @@
         that crosses the close was written, so the wait that it tells holds."""
         if self.given_up is None:
             self.given_up = outcome
-        self.close()
+        self.close(f"call given up: {outcome.value}")
 
     def data_received(self, data: bytes) -> None:
         self.seen += data
@@ -151,7 +153,7 @@
     def read(self, data: bytes) -> None:
         call = self.call
         if call is None:  # nothing was asked: not to be trusted any more
-            self.close()
+            self.close("bytes or an end that nothing asked for")
             return
         try:
             self.reader.feed(data)
@@ -159,7 +161,7 @@
             log.warning("target %d: bad answer: %s", call.target, error)
             self.call = None
             self.pool.ended(call, self.reader, broken=True)
-            self.close()
+            self.close("bad answer")
             return
         if self.reader.complete:
             self.finish(call)
@@ -180,7 +182,7 @@
         if self.reader.keep_alive and not self.closing():
             self.pool.keep(self, call.target)
         else:
-            self.close()
+            self.close("not kept alive by the endpoint")
 
     def connection_lost(self, error: Exception | None) -> None:
         self.pool.lost(self)
@@ -201,7 +203,8 @@
     """All connections to all targets, and the calls that are out on them."""
 
     def __init__(self, clock: Callable[[], int], sink: Sink, fields: tuple[str, ...], idle_us: int,
-                 dial_us: int, most: int) -> None:
+                 dial_us: int, most: int, reasons: Reasons | None = None) -> None:
+        self.reasons = reasons or Reasons()
         self.clock, self.sink, self.most = clock, sink, most
         self.tune(fields, idle_us, dial_us)
         self.idle: dict[int, list[Connection]] = {}
@@ -222,12 +225,12 @@
         """The list changed: what is not in it any more gets no new call, and keeps no idle connection."""
         for target, old in self.where.items():
             if where.get(target) != old:
-                self.close_idle(target)
+                self.close_idle(target, "not listed any more")
         self.where = where
 
-    def close_idle(self, target: int) -> None:
+    def close_idle(self, target: int, reason: str = "on demand") -> None:
         for connection in self.idle.pop(target, []):
-            connection.close()
+            connection.close(reason)
 
     # Starting
 
@@ -259,7 +262,7 @@
         if not held:
             return False
         _, n, target = min(held)
-        self.idle[target].pop(n).close()
+        self.idle[target].pop(n).close("too many connections")
         return True
 
     async def dial(self, call: Call, where: Address) -> None:
@@ -279,7 +282,7 @@
         elif self.where.get(call.target) != where:
             # Drained while the connection was coming up: what was queued for it must not leave any more.
             self.finish(call, Result(Outcome.NOT_SENT))
-            connection.close()
+            connection.close("not listed any more")
         elif not call.open or self.clock() < self.waits.get(call.place, 0):
             # A wait that was told meanwhile binds this call too, though it was decided before.
             self.finish(call, Result(Outcome.NOT_SENT))
@@ -317,7 +320,7 @@
         """The rest of an answer does not come: what is there counts as if the connection had broken here, so
         that its slot is free for others."""
         if call.connection is not None:
-            call.connection.close()
+            call.connection.close("answer stands still")
 
     @staticmethod
     def disarm(call: Call) -> None:
@@ -374,7 +377,7 @@
         if call.connection is not None:
             connection, call.connection = call.connection, None
             connection.call = None
-            connection.close()
+            connection.close("call dropped")
 
     def finish(self, call: Call, result: Result, report: i.LoadReport | None = None) -> None:
         """The same end for all that is still open."""
@@ -501,7 +504,7 @@
     def keep(self, connection: Connection, target: int) -> None:
         held = self.idle.setdefault(target, [])
         if target not in self.where or self.idle_us <= 0 or len(held) >= MOST_IDLE:
-            connection.close()
+            connection.close("enough idle ones are kept")
             return
         connection.idle_us = self.clock()
         held.append(connection)
@@ -514,7 +517,7 @@
         for target, held in list(self.idle.items()):
             for connection in held:
                 if connection.idle_us < old:
-                    connection.close()
+                    connection.close("idle too long")
             kept = [c for c in held if c.idle_us >= old and not c.closing()]
             if kept:
                 self.idle[target] = kept
@@ -532,7 +535,7 @@
 
     def close(self) -> None:
         for connection in list(self.all):
-            connection.close()
+            connection.close("the process ends")
 
 
 def unread(transport: asyncio.Transport | None) -> bytes:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -12,6 +12,7 @@
 import logging
 import os
 import random
+import resource
 import socket
 import time
 from collections.abc import Callable, Iterable, Sequence
@@ -30,6 +31,7 @@
 from lemonshunt.net.discovery import Notices, Watch
 from lemonshunt.net.drain import LATE_S, Drain
 from lemonshunt.net.listen import bind, fileno
+from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.server import Door, Handed, Server, gone
 from lemonshunt.net.store import Owed, Store, Taken
 from lemonshunt.net.upgrade import Heritage, Ownership, memory
@@ -45,6 +47,7 @@
 TICK_S = 0.1
 SPARE_SOCKETS = 40  # descriptors of two processes that are no connections
 OLD_CONTROL_S = 10.0  # after an upgrade calls are answered at the old control address too
+REASONS_LOG_S = 1.0  # between two reports of why connections were closed, calls retried, requests refused
 STATE_LOG_S = 5.0  # between two lines that tell how the forwarder stands
 MOST_TARGETS = 2000  # targets remembered at most, those that are gone among them
 MOST_REFUSED_BY = 1000  # destinations, classes and gates of refusals that are counted apart
@@ -69,6 +72,14 @@
     return replace(settings, ends_confirmed=True, subscribe=True)
 
 
+def open_descriptors() -> int:
+    """How many descriptors this process holds; -1 where that cannot be read."""
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1  # without the one that looks
+    except OSError:
+        return -1
+
+
 def away() -> str:
     """A time to come back at, for the Retry-After of a refusal at the door."""
     return f"{random.uniform(*AWAY_S):.3f}"
@@ -167,9 +178,10 @@
         self.dispatcher = Dispatcher(s, config.seed, self.clock())
         # A share of the descriptors for each side; the rest is for files, discovery and the listener.
         doors = config.sockets // 2 - sum(part.descriptors for part in parts)
-        self.server = Server(s, self.clock, max(8, doors), self.hand_in)
+        self.reasons = Reasons()
+        self.server = Server(s, self.clock, max(8, doors), self.hand_in, self.reasons)
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us,
-                         max(8, config.sockets // 3))
+                         max(8, config.sockets // 3), self.reasons)
         self.kinds = {k.name: k for k in s.kinds}
         self.notices = Notices(config.discovery, self)
         self.drain = Drain(self.server)
@@ -193,6 +205,9 @@
         self.refused_by: dict[tuple[int, str, str], int] = {}
         self.leaving_s, self.lag_s = 0.0, -LAG_LOG_S
         self.rounds, self.state_s = 0, time.monotonic()
+        self.begun_s = self.reasons_s = time.monotonic()
+        self.first_list_s: float | None = None  # when discovery first told a list, after the start
+        self.calls_made = 0
         self.done = asyncio.Event()
         self.syncer: Syncer | None = None  # set by a part: what a record precedes waits until that is synced
         self.parts = [make(self) for make in parts]
@@ -245,6 +260,9 @@
         self.identity = identity.begin(self.identity, self.config.state, self.config.name, self.store.salt,
                                        self.store.durable)
         log.info("start %d of %s: %s", self.identity.starts, self.identity.id, self.start.value)
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        log.info("descriptors: %d configured, %d allowed (hard limit %d), %d open; at most %d clients, "
+                 "%d connections to endpoints", self.config.sockets, soft, hard, open_descriptors(), self.server.most, self.pool.most)
         if self.heritage is not None:
             await self.adopt_calls(self.heritage)
         self.round()
@@ -323,6 +341,9 @@
             self.state_s = now
             self.log_state()
         self.store.step()
+        if now - self.reasons_s > REASONS_LOG_S:
+            self.reasons_s = now
+            self.reasons.report()
         if self.life.phase is not Phase.SERVING and self.life.step(self.clock(), self.store.messages):
             log.info("phase: %s", self.tell_phase())
         old = self.clock() - OVERDUE_US
@@ -336,12 +357,15 @@
         """What a bad stretch is compared by with a good one; counts are since the start."""
         lines, store = self.dispatcher.lines.values(), self.store
         log.info("state: %d held, %d of them in turn by %d keys; %d calls out, %d ends owed, %d left out; "
-                 "%d clients, %d connections; %d rounds, %.1f s of CPU; "
+                 "%d clients, %d connections, %d descriptors; %d rounds, %.1f s of CPU; "
                  "journal %d KB, %d KB live, %d compactions%s",
                  len(store.messages), sum(len(line.queue) for line in lines), len(lines), self.pool.out,
-                 len(store.owed), len(store.bans), len(self.server.doors), len(self.pool.all), self.rounds,
+                 len(store.owed), len(store.bans), len(self.server.doors), len(self.pool.all),
+                 open_descriptors(), self.rounds,
                  time.process_time(), store.size // 1000, store.live // 1000, store.compactions,
                  "" if not store.found.damaged else f"; as found: {store.damage()}")
+        log.info("state: closed for clients: %s; violations: %d (%s)", self.reasons.summary(Subject.CLIENT_CLOSED),
+                 self.reasons.total(Subject.VIOLATION), self.reasons.summary(Subject.VIOLATION))
         held = [f"{gate.value} {us / SECOND:.1f} s" for gate, us in self.dispatcher.books.total()[:3]]
         log.info("state: %s; held by: %s", self.life.phase.value, "; ".join(held) or "nothing")
         for part in self.parts:
@@ -376,7 +400,7 @@
             door.answer(HTTPStatus.ACCEPTED)  # it is ours already, or has had its end
             return
         if handed.id in self.arriving:
-            door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "handed in twice at once", Retry_After=away())
+            self.turn_off(handed, door, "handed in twice at once")
             return
         held = len(self.store.messages) + len(self.arriving)
         size = len(handed.body) + sum(len(h.body) for h, _ in self.arriving.values())
@@ -384,16 +408,21 @@
             if self.clock() - self.full_us > FULL_LOG_US and not self.frozen:
                 self.full_us = self.clock()
                 log.warning("full: %d messages held; new ones are turned away", held)
-            door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "full", Retry_After=away())
+            self.turn_off(handed, door, "full")
             return
         if handed.destination not in self.destinations:
-            door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "no such destination", Retry_After=away())
+            self.turn_off(handed, door, "no such destination")
             return
         self.arriving[handed.id] = (handed, door)
         door.left = lambda: self.withdrawn(handed.id)
         self.post(i.Arrived(handed.id, handed.destination, handed.cls.name, handed.due_us, handed.key,
                             handed.tenant, handed.resent))
 
+    def turn_off(self, handed: Handed, door: Door, reason: str) -> None:
+        """Answer 503: it was not taken on, and may be handed in again, here or elsewhere."""
+        self.reasons.note(Subject.REFUSAL, reason, handed.id)
+        door.answer(HTTPStatus.SERVICE_UNAVAILABLE, reason, Retry_After=away())
+
     def withdrawn(self, name: str) -> None:
         """The client has gone before its answer: it may hand the message in elsewhere, so it is not ours."""
         if self.arriving.pop(name, None) is not None:
@@ -405,6 +434,10 @@
             self.post(i.Listed(i.ListKind.FAILED))
             return
         self.life.told()
+        if self.first_list_s is None:
+            self.first_list_s = time.monotonic() - self.begun_s
+            log.info("list: version %d is the first that discovery told, %.3f s after the start; %d calls were made "
+                     "before", told.seq, self.first_list_s, self.calls_made)
         if told.hosts or told.whole:
             entries = self.entries(told)
             self.take_list(told)
@@ -470,8 +503,8 @@
         except Exception:
             # A fault in a decision must cost its round and not the process, which holds all the others.
             log.exception("the round failed")
-            for _, door in arriving.values():
-                door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "internal fault", Retry_After=away())
+            for handed, door in arriving.values():
+                self.turn_off(handed, door, "internal fault")
             return
         for a in actions:
             if isinstance(a, i.Refuse | i.Fail) and a.message in arriving:
@@ -516,10 +549,11 @@
             door.answer(HTTPStatus.ACCEPTED)
         for step in calls:
             if isinstance(step, i.CloseIdle):
-                self.pool.close_idle(step.target)
+                self.pool.close_idle(step.target, "not trusted any more")
             elif isinstance(step, i.Cancel):
                 self.pool.cancel(step.message, step.attempt)
             else:
+                self.calls_made += 1
                 self.pool.start(step)
         if self.store.owed:
             self.notices.kick()
@@ -538,6 +572,8 @@
 
     def turn_away(self, handed: Handed, door: Door, a: i.Refuse | i.Fail) -> None:
         """Given up in the round in which it came: the client hears so, and it was never taken on."""
+        why = a.why.value if isinstance(a, i.Refuse) and a.why else "at once"
+        self.reasons.note(Subject.REFUSAL, why, handed.id)
         if isinstance(a, i.Fail):
             door.answer(HTTPStatus.INTERNAL_SERVER_ERROR, "cannot be delivered")
         elif a.wait_us > 0:
@@ -589,6 +625,7 @@
             # A target says that it is over. Should that be wrong, it would be lost; a notice does no harm.
             self.store.owe(m.id, "returned" if m.ran_at_us < 0 else "failed", 0)
         else:
+            self.reasons.note(Subject.RETRY, event.outcome.value, m.id)
             self.store.outcome(m, event.attempt, event.outcome not in i.NEVER_RAN)
 
     def set_timer(self, at_us: int, token: str) -> None:
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -19,6 +19,7 @@
 from lemonshunt import interface as i
 from lemonshunt.net.http import MOST_BODY, destination
 from lemonshunt.net.listen import Listener, fileno
+from lemonshunt.net.reasons import Reasons, Subject
 
 MOST_HEAD = 16 * 1024
 MOST_READ = 16 * 1024  # read at once from one client: what it has sent besides must not hold up the others
@@ -291,14 +292,20 @@
     def idle(self) -> bool:
         return self.busy is None and self.reading is None and not self.waiting
 
-    def close(self) -> None:
+    def close(self, reason: str = "on demand") -> None:
         if self.transport is not None:
+            self.noted(reason)
             self.transport.close()
 
-    def abort(self) -> None:
+    def abort(self, reason: str = "on demand") -> None:
         if self.transport is not None:
+            self.noted(reason)
             self.transport.abort()
 
+    def noted(self, reason: str) -> None:
+        assert self.transport is not None
+        self.server.reasons.note(Subject.CLIENT_CLOSED, reason, str(self.transport.get_extra_info("peername")))
+
     def closed(self) -> bool:
         return self.transport is None or self.transport.is_closing()
 
@@ -321,7 +328,8 @@
     """Listens for clients. `hand_in` gets each well-formed message together with its connection."""
 
     def __init__(self, settings: i.Settings, clock: Callable[[], int], most: int,
-                 hand_in: Callable[[Handed, Door], None]) -> None:
+                 hand_in: Callable[[Handed, Door], None], reasons: Reasons | None = None) -> None:
+        self.reasons = reasons or Reasons()
         self.settings, self.clock, self.most, self.hand_in = settings, clock, most, hand_in
         self.doors: set[Door] = set()
         self.buffer = memoryview(bytearray(MOST_READ))  # for all doors: what is read is copied at once
@@ -343,14 +351,14 @@
         self.doors.add(door)
         if len(self.doors) > self.most:
             spare = [d for d in self.doors if d is not door and (d.idle() or not d.asked)]
-            (min(spare, key=lambda d: (d.asked, d.used_us)) if spare else door).close()
+            (min(spare, key=lambda d: (d.asked, d.used_us)) if spare else door).close("too many clients")
 
     def sweep(self) -> None:
         """Peers that send nothing, or a part of a request, must not hold their sockets: clients need them."""
         old = self.clock() - STALLED_US
         for door in list(self.doors):
             if (door.full or door.closed()) and door.used_us < old:
-                door.abort()  # it reads nothing: a close in order would wait for it for ever
+                door.abort("its answers stay unread")  # it reads nothing: a close in order would wait for it for ever
             elif door.busy is not None or door.broken:
                 continue
             elif door.reading is not None and door.reading.came_us < old:
@@ -358,7 +366,7 @@
                 door.busy = Request(old, keep_alive=False)
                 door.answer(HTTPStatus.REQUEST_TIMEOUT, "the request did not come to its end")
             elif door.idle() and not door.asked and door.made_us < old:
-                door.close()
+                door.close("no request came")
         asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
     def handle(self, door: Door, request: Request) -> None:
@@ -385,10 +393,10 @@
         new = self.clock() - NEW_US
         for door in list(self.doors):
             if door.idle() and (door.asked or door.made_us < new):
-                door.close()
+                door.close("sent away between requests")
 
     def close(self) -> None:
         if self.listener is not None:
             self.listener.close()
         for door in list(self.doors):
-            door.close()
+            door.close("the process ends")
