--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -262,7 +262,8 @@
         log.info("start %d of %s: %s", self.identity.starts, self.identity.id, self.start.value)
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         log.info("descriptors: %d configured, %d allowed (hard limit %d), %d open; at most %d clients, "
-                 "%d connections to endpoints", self.config.sockets, soft, hard, open_descriptors(), self.server.most, self.pool.most)
+                 "%d connections to endpoints", self.config.sockets, soft, hard, open_descriptors(), self.server.most,
+                 self.pool.most)
         if self.heritage is not None:
             await self.adopt_calls(self.heritage)
         self.round()
--- /dev/null
+++ b/tests/test_incident.py
@@ -0,0 +1,89 @@
+"""The faults of the incident of 2026-12-02, played on the real program. See docs/incidents/."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import resource
+import signal
+from pathlib import Path
+
+import pytest
+
+from tests.sockets import OK, Answer, Client, Node, Platform, Request, always
+from tests.test_node import ids, node_on, play, target
+
+DESCRIPTORS = 256  # as Node configures
+RESTING_CLIENTS = 500  # under the listener's backlog
+CLIENT_SHARE = DESCRIPTORS // 2  # the bound that the forwarder states for its clients
+
+
+def limit_descriptors(node: Node) -> None:
+    """The machine allows no more descriptors than the configuration names."""
+    resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+
+
+def open_descriptors(node: Node) -> int:
+    return len(os.listdir(f"/proc/{node.process.pid}/fd"))
+
+
+async def resting_clients(node: Node, count: int, ask: bool) -> list[Client]:
+    """Clients that arrive while the process stands still, so that it meets all of them at once, and then rest."""
+    node.process.send_signal(signal.SIGSTOP)
+    clients = [await node.client() for _ in range(count)]
+    for client in clients if ask else []:
+        client.writer.write(b"GET /up HTTP/1.1\r\n\r\n")
+    node.process.send_signal(signal.SIGCONT)
+    return clients
+
+
+@pytest.mark.parametrize("ask", [True, False], ids=["that have asked", "that are silent"])
+def test_bursts_of_resting_clients_leave_descriptors_for_all_else(tmp_path: Path, ask: bool) -> None:
+    """incident-1: hundreds of idle clients took every descriptor, and nothing gave one back until they left."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        node = await node_on(folder, platform)
+        limit_descriptors(node)
+        clients = await resting_clients(node, RESTING_CLIENTS, ask)
+        for name in ("first", "second"):  # new connections are taken, and endpoints and the platform can be called
+            assert (await node.hand_in(name))[0] == 202
+        await peer.got(2)
+        assert open_descriptors(node) <= CLIENT_SHARE + 40
+        moved = Platform()
+        moved.hosts, moved.seq, moved.news = platform.hosts, platform.seq, platform.news
+        await moved.start()
+        node.configure(discovery=f"127.0.0.1:{moved.port}")
+        node.process.send_signal(signal.SIGHUP)
+        await moved.until(lambda: any(r.path.startswith("/discovery") for r in moved.requests))
+        assert "cannot accept" not in "".join(node.log)
+        for client in clients:
+            client.writer.close()
+    play(scene, tmp_path)
+
+
+def test_a_restart_sends_nothing_by_its_saved_list_while_discovery_is_about_to_answer(tmp_path: Path) -> None:
+    """incident-2: an endpoint drained while the process was down got calls until discovery's first answer was read."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        drained = await target(platform, always(Answer(503)))
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("held", "status"))[0] == 202
+        await drained.got(1)
+        await node.end(signal.SIGKILL)
+        calls_before = len(drained.requests)
+        other = await target(platform, always(OK), "s2")
+        platform.hosts["s1"]["health"] = "draining"
+        platform.seq += 1
+        answer_now = asyncio.Event()
+        answered = platform.handler
+
+        async def slow(request: Request) -> Answer | bytes | None:
+            await answer_now.wait()
+            return await answered(request)
+        platform.handler = slow
+        await node.start()
+        await asyncio.sleep(0.8)  # well over the grace of a drain
+        assert len(drained.requests) == calls_before
+        answer_now.set()
+        await other.got(1)
+        assert ids(other) == ["held"] and len(drained.requests) == calls_before
+    play(scene, tmp_path)
