Keep the bound on client connections in a burst, and give some back when short

What is closed leaves the table only in the loop's next turn, so all 64 of a burst closed the same one; the count was never brought down again. So idle clients took all descriptors; then accept failed, and with it the only place that closed any; no endpoint, discovery or platform could be reached until they left, 23 s later. Requests waited in the kernel for seconds and were read past their time. Change: what may be accepted is counted over all that hold a descriptor, those that are closing too; each connection over the bound costs another that is not closing yet; where descriptors are short some idle ones are given up. The shares are counted from what the machine allows, if that is less than configured. Accept's errors that tell of one connection cost that one only.

--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -32,7 +32,7 @@
 from lemonshunt.net.drain import LATE_S, Drain
 from lemonshunt.net.listen import bind, fileno
 from lemonshunt.net.reasons import Reasons, Subject
-from lemonshunt.net.server import Door, Handed, Server, gone
+from lemonshunt.net.server import OVERSHOOT, Door, Handed, Server, gone
 from lemonshunt.net.store import Owed, Store, Taken
 from lemonshunt.net.upgrade import Heritage, Ownership, memory
 from lemonshunt.phase import Life, Phase
@@ -177,11 +177,12 @@
                            None if self.identity is None else self.identity.salt)
         self.dispatcher = Dispatcher(s, config.seed, self.clock())
         # A share of the descriptors for each side; the rest is for files, discovery and the listener.
-        doors = config.sockets // 2 - sum(part.descriptors for part in parts)
+        descriptors = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        doors = descriptors // 2 - OVERSHOOT - sum(part.descriptors for part in parts)
         self.reasons = Reasons()
         self.server = Server(s, self.clock, max(8, doors), self.hand_in, self.reasons)
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us,
-                         max(8, config.sockets // 3), self.reasons)
+                         max(8, descriptors // 3), self.reasons)
         self.kinds = {k.name: k for k in s.kinds}
         self.notices = Notices(config.discovery, self)
         self.drain = Drain(self.server)
--- a/lemonshunt/net/listen.py
+++ b/lemonshunt/net/listen.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
+import select
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from lemonshunt.net.config import Address
 
 BIND_S = 5.0
 BURST = 64  # connections taken at once
-PAUSE_S = 0.1  # after a failure, which most likely is a want of descriptors
+PAUSE_S = 0.1  # accepting rests for so long after a failure, or while there is no room for another connection
+OF_ONE_CONNECTION = frozenset({
+    errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.ENETDOWN, errno.ENETUNREACH, errno.EHOSTDOWN,
+    errno.EHOSTUNREACH, errno.ENONET, errno.EOPNOTSUPP, errno.ETIMEDOUT, errno.ECONNRESET, errno.EPERM, errno.EINTR})
+"""Errors of accept that tell of the connection that was waiting, and not of this process (accept(2))."""
 log = logging.getLogger("lemonshunt.listen")
 
 
@@ -39,10 +45,25 @@
     return int(transport.get_extra_info("socket").fileno())
 
 
+def unread(transports: Iterable[asyncio.BaseTransport]) -> set[int]:
+    """The descriptors of those connections on which bytes or an end wait in the kernel. One system call for all."""
+    waiting = select.poll()
+    for transport in transports:
+        waiting.register(fileno(transport), select.POLLIN)
+    return {number for number, _ in waiting.poll(0)}
+
+
+def no_limit() -> int:
+    return BURST
+
+
 class Listener:
+    """Accepts connections. `room` says how many more there may be now; `short` hears that descriptors or memory for
+    another are not to be had, so that its owner can give some back."""
+
     def __init__(self, sock: socket.socket, backlog: int, protocol: Callable[[], asyncio.BaseProtocol],
-                 burst: int = BURST) -> None:
-        self.sock, self.protocol, self.burst = sock, protocol, burst
+                 room: Callable[[], int] = no_limit, short: Callable[[OSError], None] | None = None) -> None:
+        self.sock, self.protocol, self.room, self.short = sock, protocol, room, short
         self.coming: dict[socket.socket, asyncio.Task[None]] = {}  # taken, with no protocol yet
         self.sock.setblocking(False)
         self.sock.listen(backlog)
@@ -52,24 +73,44 @@
         if self.sock.fileno() >= 0:
             asyncio.get_running_loop().add_reader(self.sock, self.accept)
 
-    def accept(self) -> None:
+    def pause(self) -> None:
+        """Connections wait in the kernel meanwhile."""
         loop = asyncio.get_running_loop()
-        for _ in range(self.burst):
+        loop.remove_reader(self.sock)
+        loop.call_later(PAUSE_S, self.resume)
+
+    def accept(self) -> None:
+        room = self.room()
+        if room <= 0:
+            self.pause()
+            return
+        for _ in range(min(BURST, room)):
             try:
                 conn, _ = self.sock.accept()
-            except (BlockingIOError, ConnectionAbortedError):
+            except BlockingIOError:
                 return
             except OSError as error:
-                log.error("cannot accept: %s", error)
-                loop.remove_reader(self.sock)
-                loop.call_later(PAUSE_S, self.resume)
+                if error.errno in OF_ONE_CONNECTION:
+                    continue
+                self.failed(error)
                 return
             conn.setblocking(False)
-            self.coming[conn] = loop.create_task(self.attach(conn))
+            self.coming[conn] = asyncio.get_running_loop().create_task(self.attach(conn))
+
+    def failed(self, error: OSError) -> None:
+        """No connection can be accepted, most likely for want of descriptors."""
+        if self.short is not None:
+            self.short(error)
+        else:
+            log.error("cannot accept: %s", error)
+        self.pause()
 
     async def attach(self, conn: socket.socket) -> None:
         try:
             await asyncio.get_running_loop().connect_accepted_socket(self.protocol, conn)
+        except OSError as error:  # it has gone already
+            log.info("a connection was lost as it was taken on: %s", error)
+            conn.close()
         finally:
             del self.coming[conn]
 
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -9,7 +9,7 @@
 import select
 import socket
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -18,13 +18,15 @@
 
 from lemonshunt import interface as i
 from lemonshunt.net.http import MOST_BODY, destination
-from lemonshunt.net.listen import Listener, fileno
+from lemonshunt.net.listen import Listener, fileno, unread
 from lemonshunt.net.reasons import Reasons, Subject
 
 MOST_HEAD = 16 * 1024
 MOST_READ = 16 * 1024  # read at once from one client: what it has sent besides must not hold up the others
 MOST_WAITING = 8  # requests read ahead on one connection before reading stops
 STALLED_US = 2_000_000  # no request for so long after connecting, or one half read: a peer is told within 3 s
+OVERSHOOT = 16  # connections over the bound for a moment: a new one is accepted before it costs another
+SHORT_CLOSES = 8  # connections closed at once where the process is short of descriptors
 NEW_US = 500_000  # a connection without a request yet is new for so long
 SWEEP_S = 0.25
 LINGER_S = 1.0
@@ -148,6 +150,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.server.doors.discard(self)
+        self.server.closing.discard(self)
         self.waiting.clear()
         self.gone()
         del self.parser  # it holds this door: freed at once, and not when the collector comes by
@@ -283,9 +286,9 @@
             # The client may still be sending: to close now would reset what it has not read yet.
             if self.transport.can_write_eof():
                 self.transport.write_eof()
-            asyncio.get_running_loop().call_later(LINGER_S, self.transport.close)
+            asyncio.get_running_loop().call_later(LINGER_S, self.close, "an unreadable request was answered")
         elif not keep and not self.waiting:
-            self.transport.close()
+            self.close("answered, and not kept alive")
         elif not self.ended:
             asyncio.get_running_loop().call_soon(self.next)
 
@@ -293,7 +296,7 @@
         return self.busy is None and self.reading is None and not self.waiting
 
     def close(self, reason: str = "on demand") -> None:
-        if self.transport is not None:
+        if self.transport is not None and not self.transport.is_closing():
             self.noted(reason)
             self.transport.close()
 
@@ -302,10 +305,23 @@
             self.noted(reason)
             self.transport.abort()
 
+    def evict(self, reason: str) -> None:
+        """Close it to make room. One that is half way into a request is told so."""
+        if self.reading is not None:
+            self.broken, self.reading = True, None
+            self.busy = Request(self.used_us, keep_alive=False)
+            self.answer(HTTPStatus.SERVICE_UNAVAILABLE, reason)
+        self.close(reason)
+
     def noted(self, reason: str) -> None:
         assert self.transport is not None
+        self.server.closing.add(self)
         self.server.reasons.note(Subject.CLIENT_CLOSED, reason, str(self.transport.get_extra_info("peername")))
 
+    def unsent(self) -> bool:
+        """Whether it has not taken all of its answers yet."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def closed(self) -> bool:
         return self.transport is None or self.transport.is_closing()
 
@@ -332,12 +348,13 @@
         self.reasons = reasons or Reasons()
         self.settings, self.clock, self.most, self.hand_in = settings, clock, most, hand_in
         self.doors: set[Door] = set()
+        self.closing: set[Door] = set()  # those of them that are closed here, and whose descriptors are not free yet
         self.buffer = memoryview(bytearray(MOST_READ))  # for all doors: what is read is copied at once
         self.leaving = False
         self.listener: Listener | None = None
 
     def listen(self, sock: socket.socket) -> None:
-        self.listener = Listener(sock, BACKLOG, lambda: Door(self))
+        self.listener = Listener(sock, BACKLOG, lambda: Door(self), self.room, self.short)
         asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
     async def adopt(self, sock: socket.socket, told: dict[str, Any]) -> None:
@@ -345,18 +362,51 @@
         sock.setblocking(False)
         await asyncio.get_running_loop().connect_accepted_socket(lambda: Door(self, told), sock)
 
+    def room(self) -> int:
+        """How many connections may be accepted now. All that hold a descriptor count, those that are closing too: what
+        is closed gives its descriptor back in the loop's next turn, and until then a burst would find none."""
+        coming = 0 if self.listener is None else len(self.listener.coming)
+        return self.most + OVERSHOOT - len(self.doors) - coming
+
     def joined(self, door: Door) -> None:
-        """Bound the sockets. One that has not asked for anything yet makes room first, be it silent or half
-        way into a request; then the client's connection that has been idle longest."""
+        """Keep the bound: each connection beyond it costs another one, or itself where none can be spared."""
         self.doors.add(door)
-        if len(self.doors) > self.most:
-            spare = [d for d in self.doors if d is not door and (d.idle() or not d.asked)]
-            (min(spare, key=lambda d: (d.asked, d.used_us)) if spare else door).close("too many clients")
+        if len(self.doors) - len(self.closing) > self.most:
+            (self.spare(door) or door).evict("too many clients")
+
+    def spare(self, new: Door | None = None) -> Door | None:
+        """The connection that is given up first: a silent or half-read one that is not quite new; then the one between
+        requests that has been idle longest; then the oldest without a request. None that is owed an answer, and none
+        with a request that lies unread in the kernel."""
+        recent = self.clock() - NEW_US
+
+        def rank(door: Door) -> tuple[int, int]:
+            return (1 if door.asked else 0 if door.made_us < recent else 2), door.used_us
+        free = sorted((door for door in self.doors - self.closing if door is not new and door.transport is not None
+                       and (door.idle() or (door.busy is None and not door.asked)) and not door.closed()
+                       and not door.unsent()), key=rank)
+        return next((door for door in free if not self.unread([door])), None)
+
+    def short(self, error: OSError) -> None:
+        """Descriptors are not to be had: without some of the idle clients' nothing can be accepted, nor called."""
+        self.reasons.note(Subject.REFUSAL, f"cannot accept: {error.strerror}")
+        for _ in range(SHORT_CLOSES):
+            door = self.spare()
+            if door is None:
+                return
+            door.evict("short of descriptors")
+
+    @staticmethod
+    def unread(doors: Iterable[Door]) -> set[Door]:
+        """Those with bytes, or an end, that wait in the kernel: closed now, a request might be lost."""
+        by_number = {fileno(door.transport): door for door in doors if not door.closed()}
+        return {by_number[number] for number in unread([d.transport for d in by_number.values() if d.transport])}
 
     def sweep(self) -> None:
         """Peers that send nothing, or a part of a request, must not hold their sockets: clients need them."""
         old = self.clock() - STALLED_US
-        for door in list(self.doors):
+        unread = self.unread(door for door in self.doors if not door.asked and door.made_us < old)
+        for door in [door for door in self.doors if door not in unread or door.full]:
             if (door.full or door.closed()) and door.used_us < old:
                 door.abort("its answers stay unread")  # it reads nothing: a close in order would wait for it for ever
             elif door.busy is not None or door.broken:
@@ -391,9 +441,10 @@
     def let_go(self) -> None:
         """Close connections between requests only. One that is new may have its first request on the way."""
         new = self.clock() - NEW_US
-        for door in list(self.doors):
-            if door.idle() and (door.asked or door.made_us < new):
-                door.close("sent away between requests")
+        free = [door for door in self.doors if door.idle() and (door.asked or door.made_us < new)]
+        unread = self.unread(free)
+        for door in [door for door in free if door not in unread]:
+            door.close("sent away between requests")
 
     def close(self) -> None:
         if self.listener is not None:
--- a/lemonshunt/net/streaming/part.py
+++ b/lemonshunt/net/streaming/part.py
@@ -59,7 +59,7 @@
 
     def __init__(self, sock: socket.socket, streaming: Streaming) -> None:
         self.streaming = streaming
-        super().__init__(sock, BACKLOG, asyncio.Protocol, SPARE_SOCKETS // 2)
+        super().__init__(sock, BACKLOG, asyncio.Protocol, lambda: SPARE_SOCKETS // 2)
 
     async def attach(self, conn: socket.socket) -> None:
         try:
