Send nothing by the saved list until discovery has answered, for 2 s at most

What its agent holds counts as told from the first moment of a process, so an endpoint that drained while the process was down got calls until the answer was read (0.33 and 0.41 s after it was told, where 0.3 s are allowed). The first question was also one that waits for news. Change: a start's first question is answered at once (hold_ms=1), and the module sends nothing until a list was told by discovery, or 2 s have passed, in which discovery answers a call that does not wait or not at all (PROTOCOL, Figures). Not after an upgrade: what the process before was told is current. The stand-in of discovery heeds hold_ms. Ruled out: a dial on its way when the list comes looks at the list again once connected.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -94,6 +94,7 @@
         self.lines: dict[str, Line] = {}
         self.purses: dict[str, int] = {}
         self.calls_out, self.taken, self.armed, self.asking_until = 0, 0, -1, now
+        self.list_awaited_until = now
         self.round_calls: dict[int, Call] = {}
         self.shortest: dict[tuple[int, str, int], float] = {}
         self.actions: list[i.Action] = []
@@ -132,6 +133,8 @@
                     self.unbanned(target)
                 case i.Inherited(memory):
                     self.inherit(memory)
+                case i.ListAwaited(until):
+                    self.list_awaited_until = until
                 case i.Retuned(new):
                     self.tune(new)
                     self.idle_us = min(self.idle_us, self.idle_top)
@@ -223,6 +226,8 @@
             self.ask_pause = min(2 * self.ask_pause, 4 * ASK_AGAIN_US)
             return
         self.ask_pause, self.lists = ASK_AGAIN_US, self.lists + 1
+        if event.kind is not i.ListKind.SAVED:
+            self.list_awaited_until = self.now
         if event.kind is not i.ListKind.CHANGES:
             for target in self.targets.values():
                 target.serving = False
@@ -650,8 +655,9 @@
     def room_at(self, t: Target) -> tuple[int, Gate | None]:
         """The gate's part that is the same for every message: slots, window, pace, rest, turn. When it opens,
         and what shuts it until then; NEVER where only an event can open it."""
-        if self.now < self.asking_until:  # what others know of targets is not known here yet
-            return self.asking_until, Gate.START
+        unknown_until = max(self.asking_until, self.list_awaited_until)
+        if self.now < unknown_until:  # what discovery, or others, know of targets is not known here yet
+            return unknown_until, Gate.START
         call = self.round_calls.get(t.id)
         joins = call is not None and call.joined < t.batch
         if joins and (not self.cold(t) or t.back_at >= 0):
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -198,6 +198,14 @@
     entries: tuple[TargetEntry, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ListAwaited:
+    """Discovery was asked at a start, and what it holds counts as told already: until it has answered, but no longer
+    than until this time, nothing may be sent by the list that was saved."""
+
+    until_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class Arrived:
     message: str
@@ -359,7 +367,8 @@
     __slots__ = ()
 
 
-Event = (Listed | Arrived | Recalled | OutageRecalled | Banned | Unbanned | EndRecalled | Inherited | Retuned
+Event = (Listed | ListAwaited | Arrived | Recalled | OutageRecalled | Banned | Unbanned | EndRecalled | Inherited
+         | Retuned
          | Ended | Confirmed | Withdrawn | TimerDue | Probed | PartEvent)
 
 
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -14,6 +14,8 @@
 from lemonshunt.net.store import Owed
 from lemonshunt.wirehost import Malformed
 
+FIRST_HOLD_MS = 1  # a start's first question is answered with what discovery holds, be it news or not
+FIRST_LIST_US = 2_000_000  # discovery answers a call that does not wait within 2 s (PROTOCOL, Figures), or not at all
 HOLD_MS = 20_000  # how long a watch waits for something newer
 LATE_S = 0.8  # a watch silent for so long after that is dead; what it had to tell counts as told 2 s after, and the
 # module takes up to twice ASK_AGAIN_US of them before it asks anew
@@ -115,8 +117,10 @@
     """Follows the list from a version on (-1: has none and asks for the whole first). Tells its first failure
     and ends; the module asks again."""
 
-    def __init__(self, where: Address, seq: int, listed: Callable[[HostList | None], None]) -> None:
-        self.client, self.seq, self.listed = Client(where), seq, listed
+    def __init__(self, where: Address, seq: int, listed: Callable[[HostList | None], None],
+                 current: bool = False) -> None:
+        """`current`: the list of that version is what discovery told last, not one that was saved."""
+        self.client, self.seq, self.listed, self.current = Client(where), seq, listed, current
         self.task: asyncio.Task[None] | None = None
 
     def subscribe(self) -> None:
@@ -136,7 +140,8 @@
         while True:
             path, wait = "/discovery/hosts", ANSWER_S
             if self.seq >= 0:  # a list that never changed may well be version 0
-                path, wait = f"{path}?from={self.seq}&hold_ms={HOLD_MS}", LATE_S + HOLD_MS / 1000
+                hold_ms = HOLD_MS if self.current else FIRST_HOLD_MS
+                path, wait = f"{path}?from={self.seq}&hold_ms={hold_ms}", max(ANSWER_S, LATE_S + hold_ms / 1000)
             asked = time.monotonic()
             try:
                 answer = await self.client.ask("GET", path, wait)
@@ -148,7 +153,7 @@
                 self.task = None
                 self.listed(None)
                 return
-            news, self.seq = told.seq != self.seq, told.seq
+            news, self.seq, self.current = told.seq != self.seq, told.seq, True
             if news or not told.whole:
                 self.listed(told)
             if not news and time.monotonic() - asked < LEAST_WATCH_S:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -28,7 +28,7 @@
 from lemonshunt.net.client import Call, Item, Pool, fits
 from lemonshunt.net.config import Address, Config, ConfigError, Host, HostList, host, load
 from lemonshunt.net.control import Calls, Control, Refused, alone
-from lemonshunt.net.discovery import Notices, Watch
+from lemonshunt.net.discovery import FIRST_LIST_US, Notices, Watch
 from lemonshunt.net.drain import LATE_S, Drain
 from lemonshunt.net.listen import bind, fileno
 from lemonshunt.net.reasons import Reasons, Subject
@@ -212,7 +212,7 @@
         self.done = asyncio.Event()
         self.syncer: Syncer | None = None  # set by a part: what a record precedes waits until that is synced
         self.parts = [make(self) for make in parts]
-        self.watch = Watch(config.discovery, self.recover(), self.listed)
+        self.watch = Watch(config.discovery, self.recover(), self.listed, current=heritage is not None)
         self.life = Life(self.clock(), self.store.messages)
 
     # Starting
@@ -228,6 +228,8 @@
         self.take_list(known)
         self.events += [i.Banned(self.number(name), since) for name, since in kept.bans.items()]
         self.events.append(i.Listed(i.ListKind.SAVED, self.entries(known)))
+        if self.heritage is None:
+            self.events.append(i.ListAwaited(self.clock() + FIRST_LIST_US))
         for name, (since, back) in kept.outages.items():
             if name in self.numbers:
                 self.events.append(i.OutageRecalled(self.numbers[name], since, back))
--- a/lemonshunt/net/listen.py
+++ b/lemonshunt/net/listen.py
@@ -14,7 +14,8 @@
 
 BIND_S = 5.0
 BURST = 64  # connections taken at once
-PAUSE_S = 0.1  # accepting rests for so long after a failure, or while there is no room for another connection
+PAUSE_S = 0.1  # accepting rests for so long after a failure
+FULL_PAUSE_S = 0.002  # and for so long while there is no room: what was closed for it is gone in the loop's next turn
 OF_ONE_CONNECTION = frozenset({
     errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.ENETDOWN, errno.ENETUNREACH, errno.EHOSTDOWN,
     errno.EHOSTUNREACH, errno.ENONET, errno.EOPNOTSUPP, errno.ETIMEDOUT, errno.ECONNRESET, errno.EPERM, errno.EINTR})
@@ -73,16 +74,16 @@
         if self.sock.fileno() >= 0:
             asyncio.get_running_loop().add_reader(self.sock, self.accept)
 
-    def pause(self) -> None:
+    def pause(self, pause_s: float) -> None:
         """Connections wait in the kernel meanwhile."""
         loop = asyncio.get_running_loop()
         loop.remove_reader(self.sock)
-        loop.call_later(PAUSE_S, self.resume)
+        loop.call_later(pause_s, self.resume)
 
     def accept(self) -> None:
         room = self.room()
         if room <= 0:
-            self.pause()
+            self.pause(FULL_PAUSE_S)
             return
         for _ in range(min(BURST, room)):
             try:
@@ -103,7 +104,7 @@
             self.short(error)
         else:
             log.error("cannot accept: %s", error)
-        self.pause()
+        self.pause(PAUSE_S)
 
     async def attach(self, conn: socket.socket) -> None:
         try:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -181,8 +182,11 @@
         since = int(request.path.partition("from=")[2].partition("&")[0] or -1)
         if since < 0:
             return Answer(200, body=json.dumps(self.listing()).encode())
+        hold_s = int(request.path.partition("hold_ms=")[2] or 0) / 1000
         async with self.changed:
-            await self.changed.wait_for(lambda: self.seq > since)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(hold_s):
+                    await self.changed.wait_for(lambda: self.seq > since)
         hosts = [h for seq in range(since + 1, self.seq + 1) for h in self.news.get(seq, [])]
         return Answer(200, body=json.dumps({"seq": self.seq, "whole": False, "hosts": hosts}).encode())
 
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -73,6 +73,7 @@
         other = await target(platform, always(OK), "s2")
         platform.hosts["s1"]["health"] = "draining"
         platform.seq += 1
+        platform.news[platform.seq] = [platform.hosts["s1"], platform.hosts["s2"]]
         answer_now = asyncio.Event()
         answered = platform.handler
 
