--- a/lemonshunt/phase.py
+++ b/lemonshunt/phase.py
@@ -6,7 +6,7 @@
 | phase | what it allows | what ends it |
 | --- | --- | --- |
 | starting | nothing: the journal is read, the address is not listened on | the engine is ready |
-| recovering | all but calls, for 2 s at most; then by the kept list | discovery has told the list, or 10 s have passed |
+| recovering | all; calls by the kept list wait 2 s first | discovery has told the list, or 10 s have passed |
 | catching up | all; old messages compete with new ones in the design's order | they are over, or 30 s passed |
 | serving | all | the end of the process |
 """
