Keep the table of listed endpoints in a module of its own

Cause: engine.py (over 850 lines) kept names, numbers, kinds and the list of endpoints beside starting, rounds, operators and upgrades, and the parts reached into it. Change: TargetTable in net/targets.py, moved without a change of behaviour. Measured: the tests of network, upgrades, streams, news, health and operators pass.

--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -26,7 +26,7 @@
 from lemonshunt.journal import goes_on
 from lemonshunt.net import identity
 from lemonshunt.net.client import Call, Item, Pool, fits
-from lemonshunt.net.config import Address, Config, ConfigError, Host, HostList, host, load
+from lemonshunt.net.config import Address, Config, ConfigError, HostList, host, load
 from lemonshunt.net.control import Calls, Control, Refused, alone
 from lemonshunt.net.discovery import FIRST_LIST_US, Notices, Watch
 from lemonshunt.net.drain import LATE_S, Drain
@@ -34,6 +34,7 @@
 from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.server import OVERSHOOT, Door, Handed, Server, gone
 from lemonshunt.net.store import Owed, Store, Taken
+from lemonshunt.net.targets import TargetTable
 from lemonshunt.net.upgrade import Heritage, Ownership, memory
 from lemonshunt.phase import Life, Phase
 
@@ -49,7 +50,6 @@
 OLD_CONTROL_S = 10.0  # after an upgrade calls are answered at the old control address too
 REASONS_LOG_S = 1.0  # between two reports of why connections were closed, calls retried, requests refused
 STATE_LOG_S = 5.0  # between two lines that tell how the forwarder stands
-MOST_TARGETS = 2000  # targets remembered at most, those that are gone among them
 MOST_REFUSED_BY = 1000  # destinations, classes and gates of refusals that are counted apart
 OVERDUE_US = 120_000  # past its time by so much, a message without an end is ended by the engine itself
 SECOND = 1_000_000
@@ -183,7 +183,7 @@
         self.server = Server(s, self.clock, max(8, doors), self.hand_in, self.reasons)
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us,
                          max(8, descriptors // 3), self.reasons)
-        self.kinds = {k.name: k for k in s.kinds}
+        self.targets = TargetTable(s.kinds, told.get("numbers", {}), told.get("destinations", ()))
         self.notices = Notices(config.discovery, self)
         self.drain = Drain(self.server)
         self.control = control
@@ -191,11 +191,6 @@
                              "JOIN": alone(self.join), "OFFLINE": self.offline, "ONLINE": self.online,
                              "WHY": self.why, "PHASE": alone(self.tell_phase),
                              "JOURNAL": alone(self.tell_journal)}
-        self.hosts: dict[str, Host] = {}
-        self.numbers: dict[str, int] = dict(told.get("numbers", {}))
-        self.names = {number: name for name, number in self.numbers.items()}
-        self.numbered = max(self.names, default=0)
-        self.destinations: set[int] = set(told.get("destinations", ()))
         self.arriving: dict[str, tuple[Handed, Door]] = {}
         self.events: list[i.Event] = []
         self.scheduled = False
@@ -227,12 +222,12 @@
         kept.note_names(h.name for h in known.hosts)
         self.take_list(known)
         self.events += [i.Banned(self.number(name), since) for name, since in kept.bans.items()]
-        self.events.append(i.Listed(i.ListKind.SAVED, self.entries(known)))
+        self.events.append(i.Listed(i.ListKind.SAVED, self.targets.entries(known.hosts, self.store.bans)))
         if self.heritage is None:
             self.events.append(i.ListAwaited(self.clock() + FIRST_LIST_US))
         for name, (since, back) in kept.outages.items():
-            if name in self.numbers:
-                self.events.append(i.OutageRecalled(self.numbers[name], since, back))
+            if name in self.targets.numbers:
+                self.events.append(i.OutageRecalled(self.targets.numbers[name], since, back))
         self.give_up_doubtful()
         for m in kept.messages.values():
             lost = [number for number in m.out if (m.id, number) not in out]
@@ -329,9 +324,10 @@
             self.retune(on_sockets(told.settings))
 
     def retune(self, s: i.Settings) -> None:
-        self.server.settings, self.kinds = s, {k.name: k for k in s.kinds}
+        self.server.settings = s
+        self.targets.tune(s.kinds)
         self.pool.tune(self.config.report_fields, s.conn_idle_us, s.dial_timeout_us)
-        entries = tuple(h.entry(self.number(h.name)) for h in self.hosts.values())
+        entries = self.targets.entries(self.targets.hosts.values(), self.store.bans)
         self.events += [i.Retuned(s), i.Listed(i.ListKind.WHOLE, entries)]
         self.round()
 
@@ -414,7 +410,7 @@
                 log.warning("full: %d messages held; new ones are turned away", held)
             self.turn_off(handed, door, "full")
             return
-        if handed.destination not in self.destinations:
+        if handed.destination not in self.targets.destinations:
             self.turn_off(handed, door, "no such destination")
             return
         self.arriving[handed.id] = (handed, door)
@@ -443,9 +439,9 @@
             log.info("list: version %d is the first that discovery told, %.3f s after the start; %d calls were made "
                      "before", told.seq, self.first_list_s, self.calls_made)
         if told.hosts or told.whole:
-            entries = self.entries(told)
+            entries = self.targets.entries(told.hosts, self.store.bans)
             self.take_list(told)
-            self.store.list(told.seq, {h.name: h.raw for h in self.hosts.values()}, self.clock())
+            self.store.list(told.seq, {h.name: h.raw for h in self.targets.hosts.values()}, self.clock())
         else:
             entries = ()
         kind = i.ListKind.WHOLE if told.whole else i.ListKind.CHANGES
@@ -453,39 +449,18 @@
         if not self.frozen:
             self.round()
 
-    def entries(self, told: HostList) -> tuple[i.TargetEntry, ...]:
-        return tuple(h.entry(self.number(h.name)) for h in told.hosts)
-
     def take_list(self, told: HostList) -> None:
-        if told.whole:
-            self.hosts = {}
-        for h in told.hosts:
-            self.destinations.add(h.destination)
-            if h.health == "removed":
-                self.hosts.pop(h.name, None)
-            else:
-                self.hosts[h.name] = h
+        self.targets.take(told)
         self.serving()
 
     def serving(self) -> None:
         """What the pool may call: the last check before the wire."""
-        self.pool.serving({self.number(h.name): h.dial for h in self.hosts.values()
-                           if h.health == "up" and h.name not in self.store.bans})
+        self.pool.serving(self.targets.serving(self.store.bans))
         for part in self.parts:
             part.served(self.pool.where)
 
     def number(self, name: str) -> int:
-        """The module's number for a target. Those long gone are forgotten, the oldest first."""
-        if len(self.numbers) > MOST_TARGETS:
-            kept = self.hosts.keys() | self.store.bans.keys()
-            old = next((n for n in self.numbers if n not in kept), None)
-            if old is not None:
-                del self.names[self.numbers.pop(old)]
-        if name not in self.numbers:
-            self.numbered += 1
-            self.numbers[name] = self.numbered
-            self.names[self.numbered] = name
-        return self.numbers[name]
+        return self.targets.number(name, self.store.bans)
 
     # Rounds
 
@@ -534,8 +509,8 @@
                 case i.Subscribe():
                     self.watch.subscribe()
                 case i.Outage():
-                    if a.target in self.names:
-                        self.store.outage(self.names[a.target], a.since_us, a.back_us)
+                    if a.target in self.targets.names:
+                        self.store.outage(self.targets.names[a.target], a.since_us, a.back_us)
                 case i.Note():
                     log.info("%s", a.text)
         wrote = bool(self.store.pending)
@@ -594,8 +569,8 @@
         if m is None:  # only after a fault: the slot must come free again
             self.post(i.Ended(a.message, 0, a.target, i.Outcome.NOT_SENT, 0, closed=True))
             return
-        name, number = self.names[a.target], m.attempts
-        target = self.hosts.get(name)
+        name, number = self.targets.names[a.target], m.attempts
+        target = self.targets.host(a.target)
         if target is None or target.destination != m.destination:
             # A message that reaches a stranger cannot be called back: the last check before the wire.
             log.error("held back: %s is no target of destination %d", name, m.destination)
@@ -606,18 +581,11 @@
         item = Item(m.id, number, m.key, m.body, min(now + a.timeout_us, m.due_us), m.due_us,
                     m.idempotency_key, a.leave_by_us)
         call = forming.get(a.target)
-        if call is None or len(call.items) >= self.kind(target).batch or not fits(call.items, item):
-            call = forming[a.target] = Call(a.target, self.place(a.target, target), now, [])
+        if call is None or len(call.items) >= self.targets.kind(target).batch or not fits(call.items, item):
+            call = forming[a.target] = Call(a.target, self.targets.place(target), now, [])
             calls.append(call)
         call.items.append(item)
 
-    def kind(self, target: Host) -> i.DestinationKind:
-        return self.kinds.get(str(target.raw.get("class")), i.DestinationKind(""))
-
-    def place(self, number: int, target: Host) -> tuple[int, int]:
-        """What shares a told wait with a target."""
-        return target.destination, number if self.kind(target).routes_apart else -1
-
     def book(self, event: i.Ended) -> None:
         """Journal an outcome."""
         m = self.store.messages.get(event.message)
@@ -786,7 +754,8 @@
         calling = [conn.fileno() for listener in controls for conn in listener.coming
                    if conn.fileno() not in known]
         told = {
-            "clock": self.clock.base, "numbers": self.numbers, "destinations": [*self.destinations],
+            "clock": self.clock.base, "numbers": self.targets.numbers,
+            "destinations": [*self.targets.destinations],
             "memory": asdict(self.dispatcher.memory()), "leaving": self.drain.on,
             "clients": put(clients.sock.fileno()),
             "controls": [put(listener.sock.fileno()) for listener in controls],
--- a/lemonshunt/net/health.py
+++ b/lemonshunt/net/health.py
@@ -59,7 +59,7 @@
 
     def verdict(self, name: str) -> str:
         """`VERDICT ID`: the verdict of an endpoint, and why."""
-        target = self.engine.dispatcher.targets.get(self.engine.numbers.get(name, -1))
+        target = self.engine.dispatcher.targets.get(self.engine.targets.numbers.get(name, -1))
         if target is None:
             raise Refused("no endpoint of that id is listed")
         verdict, why = self.health.verdict(target)
--- a/lemonshunt/net/news.py
+++ b/lemonshunt/net/news.py
@@ -56,7 +56,7 @@
 
     def order(self, target: int, names: frozenset[str]) -> list[str]:
         """This forwarder and others in the order of their turn for a target."""
-        return rendezvous(self.engine.names.get(target, ""), names | {self.engine.config.name})
+        return rendezvous(self.engine.targets.names.get(target, ""), names | {self.engine.config.name})
 
     def open(self, protocol: Protocol, now: int) -> None:
         """From here on the board rides along. `now` is the protocol's time, in microseconds."""
@@ -76,16 +76,16 @@
         """What a round has seen."""
         for a in actions:
             match a:
-                case TellOutage() if a.target in self.engine.names:
-                    self.say_outage(now, self.engine.names[a.target], a)
-                case TellWait((destination, which), until) if which < 0 or which in self.engine.names:
-                    subject = str(destination) if which < 0 else f"{destination} {self.engine.names[which]}"
+                case TellOutage() if a.target in self.engine.targets.names:
+                    self.say_outage(now, self.engine.targets.names[a.target], a)
+                case TellWait((destination, which), until) if which < 0 or which in self.engine.targets.names:
+                    subject = str(destination) if which < 0 else f"{destination} {self.engine.targets.names[which]}"
                     if until > self.waits.get(subject, 0):
                         self.waits[subject] = until
                         self.say(now, Kind.WAIT, subject, until - self.engine.clock())
                 case TellHolding():
                     self.say_holding(now, frozenset(
-                        self.engine.names[t] for t in a.targets if t in self.engine.names))
+                        self.engine.targets.names[t] for t in a.targets if t in self.engine.targets.names))
         if self.engine.store.bans != self.bans:
             self.say_bans(now)
 
@@ -165,7 +165,7 @@
 
     def heard(self, now: int) -> Heard:
         """All that others say and that is not too old, in the Dispatcher's numbers and times."""
-        numbers, ahead = self.engine.numbers, self.engine.clock() - now
+        numbers, ahead = self.engine.targets.numbers, self.engine.clock() - now
         words: dict[int, list[Word]] = {}
         for fact in self.board.told(now, Kind.OUTAGE, Kind.BACK, Kind.WELL):
             if fact.subject in numbers:
@@ -186,8 +186,8 @@
             if self.waits_heard.get(fact.key) == fact.number:
                 continue
             destination, _, name = fact.subject.partition(" ")
-            if destination.isdecimal() and (not name or name in self.engine.numbers):
-                which = self.engine.numbers[name] if name else -1
+            if destination.isdecimal() and (not name or name in self.engine.targets.numbers):
+                which = self.engine.targets.numbers[name] if name else -1
                 yield (int(destination), which), fact.born + fact.value + ahead
         self.waits_heard = known
 
@@ -205,7 +205,7 @@
         rows = [f"{fact.seer}: {fact.subject} {fact.kind.value}, {(now - fact.born) / SECOND:.1f} s old"
                 + (f", for {(now - fact.born + fact.value) / SECOND:.1f} s" if fact.kind is not Kind.WAIT else "")
                 for fact in facts[:MOST_SHOWN]]
-        by_word = sorted(self.engine.names.get(t, "?") for t in self.policy.by_word)
+        by_word = sorted(self.engine.targets.names.get(t, "?") for t in self.policy.by_word)
         return "; ".join([f"{len(facts)} facts; by others' word: {', '.join(by_word) or 'nothing'}", *rows])
 
 
--- a/lemonshunt/net/streaming/part.py
+++ b/lemonshunt/net/streaming/part.py
@@ -360,15 +360,15 @@
 
     def waits(self, target: int) -> bool:
         """Whether a wait was told meanwhile."""
-        host = self.engine.hosts[self.engine.names[target]]
-        return self.engine.clock() < self.engine.pool.waits.get(self.engine.place(target, host), 0)
+        host = self.engine.targets.hosts[self.engine.targets.names[target]]
+        return self.engine.clock() < self.engine.pool.waits.get(self.engine.targets.place(host), 0)
 
     def told(self, number: int, target: int, outcome: Outcome, headers: Headers) -> None:
         """The Dispatcher learns from streams what it learns from calls."""
         wait = (wait_us(headers) or 0) if outcome is Outcome.FULL else 0
-        host = self.engine.hosts.get(self.engine.names.get(target, ""))
+        host = self.engine.targets.hosts.get(self.engine.targets.names.get(target, ""))
         if wait and host is not None:
-            self.engine.pool.note_wait(self.engine.place(target, host), wait)
+            self.engine.pool.note_wait(self.engine.targets.place(host), wait)
         self.engine.post(Told(number, outcome, wait, load_report(headers, self.engine.pool.fields)))
 
     def over(self, number: int) -> None:
--- /dev/null
+++ b/lemonshunt/net/targets.py
@@ -0,0 +1,73 @@
+"""The endpoints that discovery has listed: by name as the wire has them, by number as the decisions do."""
+
+from __future__ import annotations
+
+from collections.abc import Container, Iterable, Mapping
+
+from lemonshunt import interface as i
+from lemonshunt.net.config import Address, Host, HostList
+
+MOST_TARGETS = 2000  # remembered at most, those that are gone among them
+
+
+class TargetTable:
+    """What may be called, and where."""
+
+    def __init__(self, kinds: Iterable[i.DestinationKind], numbers: Mapping[str, int],
+                 destinations: Iterable[int]) -> None:
+        """`numbers` and `destinations` are those of the process which this one takes over from."""
+        self.tune(kinds)
+        self.hosts: dict[str, Host] = {}
+        """Those that are listed now, by name."""
+        self.numbers = dict(numbers)
+        self.names = {number: name for name, number in self.numbers.items()}
+        self.destinations = set(destinations)
+        """All that were ever listed."""
+        self._newest_number = max(self.names, default=0)
+
+    def tune(self, kinds: Iterable[i.DestinationKind]) -> None:
+        """Take on the kinds of new settings."""
+        self.kinds = {kind.name: kind for kind in kinds}
+
+    def take(self, told: HostList) -> None:
+        """Follow the list, whole or in part."""
+        if told.whole:
+            self.hosts = {}
+        for host in told.hosts:
+            self.destinations.add(host.destination)
+            if host.health == "removed":
+                self.hosts.pop(host.name, None)
+            else:
+                self.hosts[host.name] = host
+
+    def number(self, name: str, keep: Container[str] = ()) -> int:
+        """The number of an endpoint. Those long gone are forgotten, the oldest first, but none of `keep`."""
+        if len(self.numbers) > MOST_TARGETS:
+            old = next((known for known in self.numbers if known not in self.hosts and known not in keep), None)
+            if old is not None:
+                del self.names[self.numbers.pop(old)]
+        if name not in self.numbers:
+            self._newest_number += 1
+            self.numbers[name] = self._newest_number
+            self.names[self._newest_number] = name
+        return self.numbers[name]
+
+    def entries(self, hosts: Iterable[Host], keep: Container[str] = ()) -> tuple[i.TargetEntry, ...]:
+        """A list, as the decisions read it."""
+        return tuple(host.entry(self.number(host.name, keep)) for host in hosts)
+
+    def serving(self, banned: Container[str]) -> dict[int, Address]:
+        """Where those are that may get new calls."""
+        return {self.number(host.name, banned): host.dial for host in self.hosts.values()
+                if host.health == "up" and host.name not in banned}
+
+    def host(self, number: int) -> Host | None:
+        """The endpoint of that number, if it is listed."""
+        return self.hosts.get(self.names.get(number, ""))
+
+    def kind(self, host: Host) -> i.DestinationKind:
+        return self.kinds.get(str(host.raw.get("class")), i.DestinationKind(""))
+
+    def place(self, host: Host) -> tuple[int, int]:
+        """What shares a told wait with an endpoint: all of its destination, or itself alone."""
+        return host.destination, self.number(host.name) if self.kind(host).routes_apart else -1
