Let nothing leave that is not on record, and let no failure end a task

Change: effects.py (what each effect does while nothing can be written), rules.py (the one place that says whether something may leave now, asked again in the moment of writing; violations are counted, logged with the id and shown by RULES and in the state line), supervise.py (tasks and timers), clock.py (times go on over restarts by the monotonic clock, beside the boot's id), timed retries of the store, quiet closes of descriptors, Outcome.HELD_BACK (no try spent, nothing learned of the endpoint). Not yet by real processes: those tests follow.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -65,6 +65,7 @@
 FEW = 8  # forwarders; where more share the targets, what all do at once adds up: connections, returns
 FORGET_US = 30 * SECOND  # idle destinations are forgotten after this
 LOOK_US = 40_000  # least time between two looks at a destination where nothing happened
+HELD_BACK_US = 50_000  # after a failure of this machine nothing is sent for so long: it would fail alike
 NEVER = i.NEVER  # a gate that only an event can open
 THE_LIST = -1  # stands among the destinations' appointments for asking for the list
 LEAST_AWAY_US = SECOND  # a refused client always hears when to come back, and not at once
@@ -94,7 +95,7 @@
         self.lines: dict[str, Line] = {}
         self.purses: dict[str, int] = {}
         self.calls_out, self.taken, self.armed, self.asking_until = 0, 0, -1, now
-        self.list_awaited_until = now
+        self.list_awaited_until = self.machine_rests_until = now
         self.round_calls: dict[int, Call] = {}
         self.shortest: dict[tuple[int, str, int], float] = {}
         self.actions: list[i.Action] = []
@@ -401,7 +402,7 @@
 
     def may_repeat(self, m: Message) -> bool:
         """Rule 2: whether a further attempt is allowed at all."""
-        return m.attempts < self.s.max_attempts and self.now < self.leave_by(m)
+        return m.attempts - m.held_back < self.s.max_attempts and self.now < self.leave_by(m)
 
     def leave_by(self, m: Message) -> int:
         """By when a further attempt has to leave: of one that may have run, within its window if it has one."""
@@ -440,7 +441,11 @@
             m.ran_at, m.ran_on = call.sent_at, target.id
         if event.report is not None:
             self.reported(target.place, event.report)
-        self.noticed(target, event.outcome)
+        if event.outcome is Outcome.HELD_BACK:
+            m.held_back += 1
+            self.machine_rests_until = self.now + HELD_BACK_US
+        else:
+            self.noticed(target, event.outcome)
         if not call.judged and event.outcome not in i.TELLS_NOTHING:
             call.judged = True
             self.judge(call, m, event)
@@ -658,6 +663,8 @@
         unknown_until = max(self.asking_until, self.list_awaited_until)
         if self.now < unknown_until:  # what discovery, or others, know of targets is not known here yet
             return unknown_until, Gate.START
+        if self.now < self.machine_rests_until:
+            return self.machine_rests_until, Gate.MACHINE
         call = self.round_calls.get(t.id)
         joins = call is not None and call.joined < t.batch
         if joins and (not self.cold(t) or t.back_at >= 0):
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -43,15 +43,17 @@
     RESET = "reset"
     CANCELED = "canceled"
     NOT_SENT = "not sent"
+    HELD_BACK = "held back"
+    """This machine could not send it, or may not now: a failure of its own, that says nothing of the target."""
 
 
-NEVER_RAN = frozenset({Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT})
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.HELD_BACK})
 """Outcomes that prove the attempt had no effect."""
 
 TOO_MUCH = frozenset({Outcome.FULL, Outcome.TIMED_OUT, Outcome.NO_CONNECTION})
 """Outcomes that a target gives which is sent more than it takes."""
 
-TELLS_NOTHING = frozenset({Outcome.NOT_SENT, Outcome.CANCELED, Outcome.UNREADABLE})
+TELLS_NOTHING = frozenset({Outcome.NOT_SENT, Outcome.HELD_BACK, Outcome.CANCELED, Outcome.UNREADABLE})
 """Outcomes that tell nothing of the target's pace and health."""
 
 
@@ -86,6 +88,7 @@
     DRAIN = "drain"
     UNLISTED = "no endpoint listed"
     START = "first seconds after a start"
+    MACHINE = "a failure of this machine"
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import errno
 import json
 import logging
 import select
@@ -22,6 +23,8 @@
 from lemonshunt.net.http import MOST_BODY, BadAnswer, ResponseReader, load_report, request, wait_us
 from lemonshunt.net.listen import fileno
 from lemonshunt.net.reasons import Reasons, Subject
+from lemonshunt.net.rules import Attempt, Route, Rules, route_denial
+from lemonshunt.net.supervise import Repeating, Supervisor
 
 IDLE_MARGIN_US = 700_000  # an idle connection is closed so long before its target would: a reset costs a try
 SWEEP_S = 0.2
@@ -32,6 +35,10 @@
 SECOND = 1_000_000
 STATES = {"accepted": Outcome.DELIVERED, "fault": Outcome.FAILED, "deferred": Outcome.FULL,
           "expired": Outcome.NOT_SENT, "no_more": Outcome.NOT_SENT}
+LOCAL_ERRORS = frozenset({
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.EAGAIN,
+    errno.ENETUNREACH, errno.ENETDOWN, errno.EPERM, errno.EACCES, errno.EAFNOSUPPORT, errno.EINTR})
+"""Errors of socket and connect that tell of this machine, and not of an endpoint (socket(2), connect(2))."""
 log = logging.getLogger("lemonshunt.client")
 
 
@@ -203,8 +210,10 @@
     """All connections to all targets, and the calls that are out on them."""
 
     def __init__(self, clock: Callable[[], int], sink: Sink, fields: tuple[str, ...], idle_us: int,
-                 dial_us: int, most: int, reasons: Reasons | None = None) -> None:
-        self.reasons = reasons or Reasons()
+                 dial_us: int, most: int, reasons: Reasons | None = None, rules: Rules | None = None,
+                 supervisor: Supervisor | None = None) -> None:
+        self.reasons, self.rules = reasons or Reasons(), rules
+        self.supervisor = supervisor or Supervisor()
         self.clock, self.sink, self.most = clock, sink, most
         self.tune(fields, idle_us, dial_us)
         self.idle: dict[int, list[Connection]] = {}
@@ -212,7 +221,7 @@
         self.dials: set[asyncio.Task[None]] = set()
         self.where: dict[int, Address] = {}
         self.waits: dict[tuple[int, int], int] = {}
-        self.sweeping = False
+        self.sweeping: Repeating | None = None
         self.out = 0
         self.calls: dict[tuple[str, int], Call] = {}
 
@@ -244,13 +253,17 @@
         if call.target not in self.where:
             self.finish(call, Result(Outcome.NO_CONNECTION))
             return
+        self.drop_denied(call, self.where[call.target])
+        if not call.open:
+            return
         idle = self.idle.get(call.target, [])
         while idle:
             connection = idle.pop()
             if not connection.closing() and connection.start(call, self.render(call)):
                 return
         if len(self.all) + len(self.dials) >= self.most and not self.make_room():
-            self.finish(call, Result(Outcome.NO_CONNECTION))
+            self.reasons.note(Subject.HELD_BACK, "call: too many connections to endpoints", call.items[0].id)
+            self.finish(call, Result(Outcome.HELD_BACK))
             return
         task = asyncio.get_running_loop().create_task(self.dial(call, self.where[call.target]))
         self.dials.add(task)
@@ -271,25 +284,38 @@
         try:
             async with asyncio.timeout(max(0.001, left / SECOND)):
                 _, connection = await loop.create_connection(lambda: Connection(self), where.host, where.port)
-        except (OSError, TimeoutError):
-            self.finish(call, Result(Outcome.NO_CONNECTION))
+        except (OSError, TimeoutError) as error:
+            local = isinstance(error, OSError) and error.errno in LOCAL_ERRORS
+            if local:
+                self.reasons.note(Subject.HELD_BACK, f"call: {errno.errorcode[error.errno or 0]}", call.items[0].id)
+            self.finish(call, Result(Outcome.HELD_BACK if local else Outcome.NO_CONNECTION))
             return
         self.all.add(connection)
-        for item in [item for item in call.open.values() if self.clock() >= item.leave_by_us]:
-            self.tell(call, item, Result(Outcome.NOT_SENT))
+        # What was decided before the connection came up may have been overtaken meanwhile.
+        self.drop_denied(call, where)
         if connection.closing():
             self.finish(call, Result(Outcome.NO_CONNECTION))
         elif self.where.get(call.target) != where:
-            # Drained while the connection was coming up: what was queued for it must not leave any more.
-            self.finish(call, Result(Outcome.NOT_SENT))
             connection.close("not listed any more")
-        elif not call.open or self.clock() < self.waits.get(call.place, 0):
-            # A wait that was told meanwhile binds this call too, though it was decided before.
-            self.finish(call, Result(Outcome.NOT_SENT))
+        elif not call.open:
             self.keep(connection, call.target)
         elif not connection.start(call, self.render(call)):
             self.finish(call, Result(Outcome.NO_CONNECTION))
 
+    def drop_denied(self, call: Call, where: Address) -> None:
+        """Ask for each message of a call whether it may leave now; hold back those that may not."""
+        now = self.clock()
+        route = Route(self.where.get(call.target) == where, self.waits.get(call.place, 0))
+        others_out = {name for (name, _), other in self.calls.items() if other is not call}
+        for item in list(call.open.values()):
+            attempt = Attempt(item.id, item.attempt, item.leave_by_us, item.due_us)
+            denial = (route_denial(attempt, route, now) if self.rules is None
+                      else self.rules.may_send(attempt, route, now, others_out))
+            if denial is not None:
+                self.tell(call, item, Result(Outcome.NOT_SENT))
+        if not call.open:
+            self.disarm(call)
+
     def render(self, call: Call) -> bytes:
         """The bytes of a call for those of its messages that are still open."""
         where = self.where[call.target]
@@ -508,9 +534,8 @@
             return
         connection.idle_us = self.clock()
         held.append(connection)
-        if not self.sweeping:
-            self.sweeping = True
-            asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+        if self.sweeping is None:
+            self.sweeping = self.supervisor.repeat("sweep of idle connections", SWEEP_S, self.sweep)
 
     def sweep(self) -> None:
         old = self.clock() - self.idle_us
@@ -523,9 +548,9 @@
                 self.idle[target] = kept
             else:
                 del self.idle[target]
-        self.sweeping = bool(self.idle)
-        if self.sweeping:
-            asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+        if not self.idle and self.sweeping is not None:
+            self.sweeping.cancel()
+            self.sweeping = None
 
     def lost(self, connection: Connection) -> None:
         self.all.discard(connection)
--- a/lemonshunt/net/clock.py
+++ b/lemonshunt/net/clock.py
@@ -5,8 +5,8 @@
 boot the two clocks never part, so the anchor is written once a boot.
 
 The first anchor is taken from the wall clock. After another boot only the wall clock knows how long the machine was
-down, and it may have been stepped. Then this clock goes on by what it says, but never less than the new boot is old, and
-never back: a message has at most the time that it had, and at least what is left of it by the wall clock.
+down, and it may have been stepped. Then this clock goes on by what it says, but never by less than the new boot is old,
+and never back: a message has at most the time that it had, and at least what is left of it by the wall clock.
 """
 
 from __future__ import annotations
--- a/lemonshunt/net/drain.py
+++ b/lemonshunt/net/drain.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from lemonshunt.net.server import Server
+from lemonshunt.net.supervise import Repeating, Supervisor
 
 LATE_S = 1.0  # new connections come for a while, until the front has asked and heeded the no
 STEP_S = 0.05
 
 
 class Drain:
-    def __init__(self, server: Server) -> None:
-        self.server = server
-        self.timer: asyncio.TimerHandle | None = None
+    def __init__(self, server: Server, supervisor: Supervisor) -> None:
+        self.server, self.supervisor = server, supervisor
+        self.timer: Repeating | None = None
 
     @property
     def on(self) -> bool:
@@ -24,11 +23,8 @@
         while."""
         if self.timer is None:
             self.server.leaving = True
-            self.timer = asyncio.get_running_loop().call_later(LATE_S, self.step)
-
-    def step(self) -> None:
-        self.server.let_go()
-        self.timer = asyncio.get_running_loop().call_later(STEP_S, self.step)
+            self.timer = self.supervisor.repeat("drain", STEP_S, self.server.let_go)
+            self.timer.arm(LATE_S)
 
     def join(self) -> None:
         """Back to work, in one step."""
--- /dev/null
+++ b/lemonshunt/net/effects.py
@@ -0,0 +1,180 @@
+"""Carries out what rounds decide: what precedes an effect is written first, and nothing leaves that is not on record.
+
+| effect | its record | while that cannot be written |
+| --- | --- | --- |
+| 202 to a client | the message | 503; the message is not taken on |
+| a call with a message that may be repeated | the attempt | leaves |
+| a call with any other message | the attempt | is held back, and tried again |
+| a notice | the end | waits until it is written, or until the message's time is over |
+
+A failure of one step costs that step. What became of it is told to the decisions, and the rest of the round goes on.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from functools import partial
+from http import HTTPStatus
+
+from lemonshunt import interface as i
+from lemonshunt.net.client import Call, Item, Pool, Result, fits
+from lemonshunt.net.reasons import Reasons, Subject
+from lemonshunt.net.rules import Denial, Rules
+from lemonshunt.net.server import Door, Handed
+from lemonshunt.net.store import Store, Taken
+from lemonshunt.net.supervise import Supervisor
+from lemonshunt.net.targets import TargetTable
+
+SECOND = 1_000_000
+MOST_REFUSED_BY = 1000  # destinations, classes and gates of refusals that are counted apart
+log = logging.getLogger("lemonshunt.effects")
+
+Arriving = dict[str, tuple[Handed, Door]]
+"""Messages that were handed in since the last round, by their id."""
+Step = i.CloseIdle | i.Cancel | Call
+
+
+@dataclass(slots=True)
+class Departures:
+    """What a round lets leave, once its records are written."""
+
+    accepted: Arriving
+    steps: list[Step] = field(default_factory=list)
+    forming: dict[int, Call] = field(default_factory=dict)
+    """The newest call to each target, which more messages may join."""
+
+
+class Effects:
+    """Of one process. `turn_away` and `refuse` answer a client that a message was refused; `post` tells the
+    decisions what became of something."""
+
+    def __init__(self, store: Store, pool: Pool, targets: TargetTable, rules: Rules, reasons: Reasons,
+                 supervisor: Supervisor, post: Callable[[i.Event], None],
+                 turn_away: Callable[[Handed, Door, i.Refuse | i.Fail], None],
+                 refuse: Callable[[Handed, Door, str], None]) -> None:
+        self.store, self.pool, self.targets, self.rules = store, pool, targets, rules
+        self.reasons, self.supervisor, self.post = reasons, supervisor, post
+        self.turn_away, self.refuse = turn_away, refuse
+        self.refused_by: dict[tuple[int, str, str], int] = {}
+        self.refused, self.refused_us = 0, -SECOND
+        self.calls_made = 0
+
+    # Deciding what leaves, and recording it
+
+    def prepare(self, now: int, actions: Iterable[i.Action], arriving: Arriving) -> Departures:
+        """Record what a round has decided. Nothing leaves yet, but refusals of what was never taken on."""
+        actions = list(actions)
+        for action in actions:
+            if isinstance(action, i.Refuse | i.Fail) and action.message in arriving:
+                self.supervisor.guard("refusal", partial(self.turn_away, *arriving.pop(action.message), action))
+        for handed, _ in arriving.values():
+            self.store.take(Taken(handed.id, handed.cls, handed.destination, handed.due_us, handed.key, handed.tenant,
+                                  handed.body, idempotency_key=handed.idempotency_key))
+        departures = Departures(arriving)
+        for action in actions:
+            if not self.supervisor.guard(type(action).__name__, partial(self._prepare, action, now, departures)):
+                self._undo(action)
+        return departures
+
+    def _prepare(self, action: i.Action, now: int, departures: Departures) -> None:
+        match action:
+            case i.Send():
+                self._prepare_send(action, now, departures)
+            case i.Refuse() if action.message in self.store.messages:
+                self._log_refused(action, now)
+                self.store.owe(action.message, "returned", -(-action.wait_us // 1000))
+            case i.Fail() if action.message in self.store.messages:
+                self.store.owe(action.message, "failed", 0)
+            case i.CloseIdle() | i.Cancel():
+                departures.steps.append(action)
+            case i.Outage() if action.target in self.targets.names:
+                self.store.outage(self.targets.names[action.target], action.since_us, action.back_us)
+
+    def _undo(self, action: i.Action) -> None:
+        """A step has failed: a message whose call was not made is held again."""
+        if isinstance(action, i.Send):
+            m = self.store.messages.get(action.message)
+            number = 0 if m is None else max(m.out, default=m.attempts)
+            self.post(i.Ended(action.message, number, action.target, i.Outcome.HELD_BACK, 0))
+
+    def _prepare_send(self, a: i.Send, now: int, departures: Departures) -> None:
+        """Record an attempt and put it into a call: those of one round to one target travel together."""
+        m = self.store.messages.get(a.message)
+        if m is None:  # only after a fault: the slot must come free again
+            self.post(i.Ended(a.message, 0, a.target, i.Outcome.NOT_SENT, 0, closed=True))
+            return
+        number, target = m.attempts, self.targets.host(a.target)
+        if target is None or target.destination != m.destination:
+            # A message that reaches an endpoint of another destination cannot be called back.
+            log.error("held back: %s is no target of destination %d", self.targets.names.get(a.target), m.destination)
+            m.attempts += 1
+            self.post(i.Ended(m.id, number, a.target, i.Outcome.NOT_SENT, 0))
+            return
+        self.store.attempt(m, number, now, target.name)
+        item = Item(m.id, number, m.key, m.body, min(now + a.timeout_us, m.due_us), m.due_us, m.idempotency_key,
+                    a.leave_by_us)
+        call = departures.forming.get(a.target)
+        if call is None or len(call.items) >= self.targets.kind(target).batch or not fits(call.items, item):
+            call = departures.forming[a.target] = Call(a.target, self.targets.place(target), now, [])
+            departures.steps.append(call)
+        call.items.append(item)
+
+    def _log_refused(self, a: i.Refuse, now: int) -> None:
+        """A line with the reason, one a second at most; it tells how many had none."""
+        self.refused += 1
+        m = self.store.messages[a.message]
+        key = (m.destination, m.cls.name, a.why.value if a.why else "nothing")
+        if key in self.refused_by or len(self.refused_by) < MOST_REFUSED_BY:
+            self.refused_by[key] = self.refused_by.get(key, 0) + 1
+        if now - self.refused_us >= SECOND:
+            log.info("refused: %s for destination %d, held by: %s; %d refused since the last such line", a.message,
+                     m.destination, key[2], self.refused)
+            self.refused_us, self.refused = now, 0
+
+    # Letting it leave
+
+    def release(self, departures: Departures, written: bool) -> None:
+        """What the records precede leaves now, if they are written; what may not go without is held back."""
+        if not written:
+            self._hold_back(departures)
+        for name, (handed, door) in departures.accepted.items():
+            self.supervisor.guard("202", partial(self._accept, name, handed, door))
+        for step in departures.steps:
+            if not self.supervisor.guard("call", partial(self._release, step)) and isinstance(step, Call):
+                self.supervisor.guard("call", partial(self.pool.finish, step, Result(i.Outcome.HELD_BACK)))
+
+    def _accept(self, name: str, handed: Handed, door: Door) -> None:
+        if self.rules.may_accept(name, written=True) is None:
+            door.answer(HTTPStatus.ACCEPTED)
+
+    def _release(self, step: Step) -> None:
+        match step:
+            case i.CloseIdle():
+                self.pool.close_idle(step.target, "not trusted any more")
+            case i.Cancel():
+                self.pool.cancel(step.message, step.attempt)
+            case Call():
+                self.calls_made += 1
+                self.pool.start(step)
+
+    def _hold_back(self, departures: Departures) -> None:
+        """The journal cannot be written: new messages are refused, and of the calls only those leave that may."""
+        for step in departures.steps:
+            if isinstance(step, Call):
+                step.items[:] = [item for item in step.items if self._may_go(step, item, departures.accepted)]
+        departures.steps = [step for step in departures.steps if not isinstance(step, Call) or step.items]
+        for name, (handed, door) in departures.accepted.items():
+            self.rules.may_accept(name, written=False)
+            self.store.forget(name)
+            self.post(i.Withdrawn(name))
+            self.refuse(handed, door, "cannot be recorded")
+        departures.accepted = {}
+
+    def _may_go(self, call: Call, item: Item, accepted: Arriving) -> bool:
+        if item.id not in accepted and self.rules.may_go_unrecorded(item.id):
+            return True
+        self.reasons.note(Subject.HELD_BACK, f"call: {Denial.NOT_RECORDED.value}", item.id)
+        self.post(i.Ended(item.id, item.attempt, call.target, i.Outcome.HELD_BACK, 0))
+        return False
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -25,15 +25,19 @@
 from lemonshunt.choice import Dispatcher
 from lemonshunt.journal import goes_on
 from lemonshunt.net import identity
-from lemonshunt.net.client import Call, Item, Pool, fits
+from lemonshunt.net.client import Call, Item, Pool
+from lemonshunt.net.clock import AnchoredClock
 from lemonshunt.net.config import Address, Config, ConfigError, HostList, host, load
 from lemonshunt.net.control import Calls, Control, Refused, alone
 from lemonshunt.net.discovery import FIRST_LIST_US, Notices, Watch
 from lemonshunt.net.drain import LATE_S, Drain
+from lemonshunt.net.effects import Departures, Effects
 from lemonshunt.net.listen import bind, fileno
 from lemonshunt.net.reasons import Reasons, Subject
+from lemonshunt.net.rules import Rules
 from lemonshunt.net.server import OVERSHOOT, Door, Handed, Server, gone
-from lemonshunt.net.store import Owed, Store, Taken
+from lemonshunt.net.store import Owed, Store
+from lemonshunt.net.supervise import Supervisor
 from lemonshunt.net.targets import TargetTable
 from lemonshunt.net.upgrade import Heritage, Ownership, memory
 from lemonshunt.phase import Life, Phase
@@ -47,25 +51,16 @@
 LAG_LOG_S = 10.0
 TICK_S = 0.1
 SPARE_SOCKETS = 40  # descriptors of two processes that are no connections
+STOP_STEP_S = 0.05
 OLD_CONTROL_S = 10.0  # after an upgrade calls are answered at the old control address too
 REASONS_LOG_S = 1.0  # between two reports of why connections were closed, calls retried, requests refused
 STATE_LOG_S = 5.0  # between two lines that tell how the forwarder stands
-MOST_REFUSED_BY = 1000  # destinations, classes and gates of refusals that are counted apart
+AFTER_FAULT_US = 50_000  # after a fault in a decision the next look comes so soon
 OVERDUE_US = 120_000  # past its time by so much, a message without an end is ended by the engine itself
 SECOND = 1_000_000
 log = logging.getLogger("lemonshunt.engine")
 
 
-class Clock:
-    """Microseconds of Unix time, so that the journal's times hold after a restart, but never going back."""
-
-    def __init__(self, base: int | None = None) -> None:
-        self.base = time.time_ns() - time.monotonic_ns() if base is None else base
-
-    def __call__(self) -> int:
-        return (self.base + time.monotonic_ns()) // 1000
-
-
 def on_sockets(settings: i.Settings) -> i.Settings:
     """On sockets an end is known when its notice is answered, and the list always has to be asked for,
     whatever the settings say of the simulator's discovery."""
@@ -170,7 +165,7 @@
         and NewerFormat or Stranger where the folder is not for this program or this forwarder."""
         self.config, self.ownership, self.clients, self.heritage = config, ownership, clients, heritage
         told = heritage.told if heritage is not None else {}
-        self.clock = Clock(told.get("clock"))
+        self.clock = AnchoredClock(config.state, told.get("clock"))
         s = on_sockets(config.settings)
         self.identity, self.start = identity.claim(config.state, config.name)
         self.store = Store(config.state, config.disk_bytes, {c.name: c for c in s.classes},
@@ -179,35 +174,35 @@
         # A share of the descriptors for each side; the rest is for files, discovery and the listener.
         descriptors = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         doors = descriptors // 2 - OVERSHOOT - sum(part.descriptors for part in parts)
-        self.reasons = Reasons()
-        self.server = Server(s, self.clock, max(8, doors), self.hand_in, self.reasons)
+        self.reasons, self.supervisor = Reasons(), Supervisor()
+        self.rules = Rules(self.store, self.reasons)
+        self.server = Server(s, self.clock, max(8, doors), self.hand_in, self.reasons, self.supervisor)
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us,
-                         max(8, descriptors // 3), self.reasons)
+                         max(8, descriptors // 3), self.reasons, self.rules, self.supervisor)
         self.targets = TargetTable(s.kinds, told.get("numbers", {}), told.get("destinations", ()))
-        self.notices = Notices(config.discovery, self)
-        self.drain = Drain(self.server)
+        self.effects = Effects(self.store, self.pool, self.targets, self.rules, self.reasons, self.supervisor,
+                               self.post, self.turn_away, self.turn_off)
+        self.notices = Notices(config.discovery, self, self.supervisor)
+        self.drain = Drain(self.server, self.supervisor)
         self.control = control
         self.calls: Calls = {"HEALTH": alone(self.health), "LEAVE": alone(self.leave),
                              "JOIN": alone(self.join), "OFFLINE": self.offline, "ONLINE": self.online,
                              "WHY": self.why, "PHASE": alone(self.tell_phase),
-                             "JOURNAL": alone(self.tell_journal)}
+                             "JOURNAL": alone(self.tell_journal), "RULES": alone(self.tell_rules)}
         self.arriving: dict[str, tuple[Handed, Door]] = {}
         self.events: list[i.Event] = []
         self.scheduled = False
         self.round_us = 0
         self.frozen = self.closed = False
-        self.full_us = self.refused_us = -FULL_LOG_US
-        self.refused = 0
-        self.refused_by: dict[tuple[int, str, str], int] = {}
+        self.full_us = -FULL_LOG_US
         self.leaving_s, self.lag_s = 0.0, -LAG_LOG_S
         self.rounds, self.state_s = 0, time.monotonic()
         self.begun_s = self.reasons_s = time.monotonic()
         self.first_list_s: float | None = None  # when discovery first told a list, after the start
-        self.calls_made = 0
         self.done = asyncio.Event()
         self.syncer: Syncer | None = None  # set by a part: what a record precedes waits until that is synced
         self.parts = [make(self) for make in parts]
-        self.watch = Watch(config.discovery, self.recover(), self.listed, current=heritage is not None)
+        self.watch = Watch(config.discovery, self.recover(), self.listed, heritage is not None, self.supervisor)
         self.life = Life(self.clock(), self.store.messages)
 
     # Starting
@@ -254,6 +249,7 @@
             kept.owe_stranger(name)
 
     async def run(self) -> None:
+        self.clock.keep()
         self.store.own()
         self.identity = identity.begin(self.identity, self.config.state, self.config.name, self.store.salt,
                                        self.store.durable)
@@ -278,8 +274,10 @@
         self.ownership.listen(self.hand_over)
         log.info("ready")
         self.life.ready(self.clock())
-        self.tick(time.monotonic())
+        self.next_tick_s = time.monotonic() + TICK_S
+        ticking = self.supervisor.repeat("tick", TICK_S, self.tick)
         await self.done.wait()
+        ticking.cancel()
         controlled.cancel()
         self.frozen = self.closed = True
         for part in self.parts:
@@ -331,16 +329,21 @@
         self.events += [i.Retuned(s), i.Listed(i.ListKind.WHOLE, entries)]
         self.round()
 
-    def tick(self, due: float) -> None:
+    def tick(self) -> None:
         """Watch the loop, and that no message is past its time without an end: that would break a promise."""
-        now = time.monotonic()
+        now, due = time.monotonic(), self.next_tick_s
+        self.next_tick_s = now + TICK_S
         if now - due > LAG_S and now - self.lag_s > LAG_LOG_S:
             self.lag_s = now
             log.warning("the loop stood still for %d ms", (now - due) * 1000)
         if now - self.state_s > STATE_LOG_S:
             self.state_s = now
             self.log_state()
+        self.store.retry()
         self.store.step()
+        self.clock.keep()
+        if self.store.owed:
+            self.notices.kick()
         if now - self.reasons_s > REASONS_LOG_S:
             self.reasons_s = now
             self.reasons.report()
@@ -351,7 +354,6 @@
             log.error("message %s was left without an end", m.id)
             self.store.owe(m.id, "failed", 0)
             self.post(i.Withdrawn(m.id))
-        asyncio.get_running_loop().call_later(TICK_S, self.tick, now + TICK_S)
 
     def log_state(self) -> None:
         """What a bad stretch is compared by with a good one; counts are since the start."""
@@ -437,7 +439,7 @@
         if self.first_list_s is None:
             self.first_list_s = time.monotonic() - self.begun_s
             log.info("list: version %d is the first that discovery told, %.3f s after the start; %d calls were made "
-                     "before", told.seq, self.first_list_s, self.calls_made)
+                     "before", told.seq, self.first_list_s, self.effects.calls_made)
         if told.hosts or told.whole:
             entries = self.targets.entries(told.hosts, self.store.bans)
             self.take_list(told)
@@ -479,76 +481,43 @@
         arriving, self.arriving = self.arriving, {}
         try:
             actions = self.dispatcher.handle(now, events)
-        except Exception:
-            # A fault in a decision must cost its round and not the process, which holds all the others.
-            log.exception("the round failed")
-            for handed, door in arriving.values():
-                self.turn_off(handed, door, "internal fault")
-            return
+        except Exception as error:
+            # A fault in a decision must cost its message and not the process, which holds all the others. What was
+            # decided until then is booked, so it is carried out.
+            self.supervisor.failed("decisions", error)
+            actions = self.dispatcher.actions
+            self.set_timer(now + AFTER_FAULT_US, "look")
+            for name in [name for name in arriving if name not in self.dispatcher.messages
+                         and not any(isinstance(a, i.Refuse | i.Fail) and a.message == name for a in actions)]:
+                self.turn_off(*arriving.pop(name), "internal fault")
+        departures = self.effects.prepare(now, actions, arriving)
         for a in actions:
-            if isinstance(a, i.Refuse | i.Fail) and a.message in arriving:
-                self.turn_away(*arriving.pop(a.message), a)
-        for handed, _ in arriving.values():
-            self.store.take(Taken(handed.id, handed.cls, handed.destination, handed.due_us, handed.key,
-                                  handed.tenant, handed.body, idempotency_key=handed.idempotency_key))
-        calls: list[i.CloseIdle | Call | i.Cancel] = []
-        forming: dict[int, Call] = {}
-        for a in actions:
-            match a:
-                case i.Send():
-                    self.send(a, now, forming, calls)
-                case i.Refuse() if a.message in self.store.messages:
-                    self.log_refused(a)
-                    self.store.owe(a.message, "returned", -(-a.wait_us // 1000))
-                case i.Fail() if a.message in self.store.messages:
-                    self.store.owe(a.message, "failed", 0)
-                case i.CloseIdle() | i.Cancel():
-                    calls.append(a)
-                case i.SetTimer():
-                    self.set_timer(now + a.delay_us, a.token)
-                case i.Subscribe():
-                    self.watch.subscribe()
-                case i.Outage():
-                    if a.target in self.targets.names:
-                        self.store.outage(self.targets.names[a.target], a.since_us, a.back_us)
-                case i.Note():
-                    log.info("%s", a.text)
+            self.supervisor.guard(type(a).__name__, partial(self.heed, a, now))
         wrote = bool(self.store.pending)
-        self.store.flush()
+        written = self.store.flush()
         if self.syncer is None:
-            self.let_go(arriving, calls)
+            self.release(departures, written)
         else:
-            self.syncer.after(partial(self.let_go, arriving, calls), wrote)
+            self.syncer.after(partial(self.release, departures, True), wrote)
         for part in self.parts:
-            part.act(actions)
-
-    def let_go(self, arriving: dict[str, tuple[Handed, Door]], calls: list[i.CloseIdle | Call | i.Cancel]) -> None:
-        """What a round's records precede leaves, once they are written."""
-        for _, door in arriving.values():
-            door.answer(HTTPStatus.ACCEPTED)
-        for step in calls:
-            if isinstance(step, i.CloseIdle):
-                self.pool.close_idle(step.target, "not trusted any more")
-            elif isinstance(step, i.Cancel):
-                self.pool.cancel(step.message, step.attempt)
-            else:
-                self.calls_made += 1
-                self.pool.start(step)
+            self.supervisor.guard(part.name, partial(part.act, actions))
+
+    def heed(self, a: i.Action, now: int) -> None:
+        """What a round asks of the engine itself."""
+        match a:
+            case i.SetTimer():
+                self.set_timer(now + a.delay_us, a.token)
+            case i.Subscribe():
+                self.watch.subscribe()
+            case i.Note():
+                log.info("%s", a.text)
+
+    def release(self, departures: Departures, written: bool) -> None:
+        """What a round's records precede leaves."""
+        self.effects.release(departures, written)
         if self.store.owed:
             self.notices.kick()
 
-    def log_refused(self, a: i.Refuse) -> None:
-        """A line with the reason, one a second at most; it tells how many had none."""
-        self.refused += 1
-        m = self.store.messages[a.message]
-        key = (m.destination, m.cls.name, a.why.value if a.why else "nothing")
-        if key in self.refused_by or len(self.refused_by) < MOST_REFUSED_BY:
-            self.refused_by[key] = self.refused_by.get(key, 0) + 1
-        if self.round_us - self.refused_us >= SECOND:
-            log.info("refused: %s for destination %d, held by: %s; %d refused since the last such line", a.message,
-                     m.destination, key[2], self.refused)
-            self.refused_us, self.refused = self.round_us, 0
-
     def turn_away(self, handed: Handed, door: Door, a: i.Refuse | i.Fail) -> None:
         """Given up in the round in which it came: the client hears so, and it was never taken on."""
         why = a.why.value if isinstance(a, i.Refuse) and a.why else "at once"
@@ -562,30 +531,6 @@
         if handed.key is not None:
             self.post(i.Confirmed(handed.id, handed.key))
 
-    def send(self, a: i.Send, now: int, forming: dict[int, Call],
-             calls: list[i.CloseIdle | Call | i.Cancel]) -> None:
-        """Journal an attempt and put it into a call: those of one round to one target travel together."""
-        m = self.store.messages.get(a.message)
-        if m is None:  # only after a fault: the slot must come free again
-            self.post(i.Ended(a.message, 0, a.target, i.Outcome.NOT_SENT, 0, closed=True))
-            return
-        name, number = self.targets.names[a.target], m.attempts
-        target = self.targets.host(a.target)
-        if target is None or target.destination != m.destination:
-            # A message that reaches a stranger cannot be called back: the last check before the wire.
-            log.error("held back: %s is no target of destination %d", name, m.destination)
-            m.attempts += 1
-            self.post(i.Ended(m.id, number, a.target, i.Outcome.NOT_SENT, 0))
-            return
-        self.store.attempt(m, number, now, name)
-        item = Item(m.id, number, m.key, m.body, min(now + a.timeout_us, m.due_us), m.due_us,
-                    m.idempotency_key, a.leave_by_us)
-        call = forming.get(a.target)
-        if call is None or len(call.items) >= self.targets.kind(target).batch or not fits(call.items, item):
-            call = forming[a.target] = Call(a.target, self.targets.place(target), now, [])
-            calls.append(call)
-        call.items.append(item)
-
     def book(self, event: i.Ended) -> None:
         """Journal an outcome."""
         m = self.store.messages.get(event.message)
@@ -613,7 +558,9 @@
     # Notices
 
     def owed_ends(self) -> dict[str, Owed]:
-        return self.store.owed
+        """Those that may be told now."""
+        now = self.clock()
+        return {name: owed for name, owed in self.store.owed.items() if self.rules.may_notify(name, now) is None}
 
     def acknowledged(self, names: list[str]) -> None:
         for name in names:
@@ -658,6 +605,13 @@
             f"start {who.starts} of {who.id}: {self.start.value}" if who else "", f"{kept.size} bytes",
             f"{kept.aside} bytes of damaged files set aside", "cannot be written" if kept.failed else "") if text)
 
+    def tell_rules(self) -> str:
+        """What was held back, what should never have been tried, and what has failed."""
+        return (f"violations: {self.reasons.summary(Subject.VIOLATION)}; held back: "
+                f"{self.reasons.summary(Subject.HELD_BACK)}; failures: {self.supervisor.summary()}; "
+                f"journal: {'cannot be written' if self.store.failed else 'written'}, "
+                f"{self.store.write_failures} failures")
+
     def tell_phase(self) -> str:
         return self.life.tell(self.clock())
 
@@ -691,7 +645,7 @@
                 key = (m.destination, m.cls.name, m.gate)
                 held[key] = held.get(key, 0) + now - m.gate_at
         return json.dumps({"held": [[d, cls, gate.value, us] for (d, cls, gate), us in held.items()],
-                           "refused": [[*key, n] for key, n in self.refused_by.items()]}, separators=(",", ":"))
+                           "refused": [[*key, n] for key, n in self.effects.refused_by.items()]}, separators=(",", ":"))
 
     def carry_out(self, event: i.Event) -> None:
         """What operators ask for is journaled and done before they hear of it."""
@@ -816,9 +770,10 @@
         self.leaving_s = time.monotonic()
         log.info("stopping: %d messages held, %d calls out", len(self.store.messages), self.pool.out)
         self.send_away()
-        asyncio.get_running_loop().call_later(LATE_S, self.stop_step)
+        self.supervisor.repeat("stop", STOP_STEP_S, self.stop_step).arm(LATE_S)
 
     def stop_step(self) -> None:
+        """Look whether the process may end."""
         passed = time.monotonic() - self.leaving_s
         if passed >= FREEZE_S and not self.frozen:
             if self.arriving or self.events:
@@ -834,5 +789,3 @@
             log.info("stopped: %d messages and %d owed ends stay in the journal",
                      len(self.store.messages), len(self.store.owed))
             self.done.set()
-            return
-        asyncio.get_running_loop().call_later(0.05, self.stop_step)
--- a/lemonshunt/net/files.py
+++ b/lemonshunt/net/files.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import zlib
 from collections.abc import Iterator
@@ -67,6 +68,8 @@
         self.sizes: dict[str, int] = {}
         """Bytes of snapshots and closed journals, by name."""
         self.writing: Writing | None = None
+        self.put_aside = False
+        """Whether what was found damaged is set aside."""
         self.aside = sum(self._blocks(path) for path in self._set_aside())
 
     def names(self) -> list[str]:
@@ -82,15 +85,20 @@
 
     def own(self, found: journal.Found, salt: int) -> None:
         """From here on this process alone writes here. What is damaged is set aside; the journal is opened where it
-        ended, or begun. Raises OSError."""
+        ended, or begun. Raises OSError; it may be called again then, until it has succeeded."""
+        self.generation, self.snapshot = found.generation, found.snapshot
         self.folder.mkdir(parents=True, exist_ok=True)
         self._unlink(NEW_SNAPSHOT)
-        self.generation, self.snapshot = found.generation, found.snapshot
         for name in self.names():
             if name.startswith((journal.SNAPSHOT, f"{journal.JOURNAL}-")) and ".bad-" not in name:
                 self.sizes[name] = self._path(name).stat().st_size
-        self._put_aside(found.bad)
+        if not self.put_aside:
+            self._put_aside(found.bad)
+            self.put_aside = True
         self.drop_older(keep=1)
+        if self.fd >= 0:  # of an attempt before
+            close(self.fd)
+            self.fd = -1
         if journal.JOURNAL in found.scans:
             self.fd = os.open(self._path(journal.JOURNAL), os.O_RDWR | os.O_CLOEXEC | os.O_NOFOLLOW)
             # Of a damaged one nothing is cut: should it not be possible to write it anew, no more is lost than is.
@@ -131,11 +139,11 @@
             if self.durable:
                 sync_folder(self.folder)
         except OSError:
-            os.close(fd)
+            close(fd)
             raise
-        if self.fd >= 0:
-            os.close(self.fd)
-        self.fd, self.size, self.generation = fd, len(head), generation
+        old, self.fd, self.size, self.generation = self.fd, fd, len(head), generation
+        if old >= 0:
+            close(old)
 
     # Damaged files
 
@@ -166,6 +174,8 @@
 
     def append(self, data: bytes) -> None:
         """To the journal. Raises OSError, and leaves it as it was, if that can be done."""
+        if self.fd < 0:
+            raise OSError(errno.EBADF, "no journal could be opened yet")
         try:
             write(self.fd, data)
         except OSError:
@@ -207,7 +217,7 @@
         name = journal.snapshot_name(done.generation)
         os.replace(self._path(NEW_SNAPSHOT), self._path(name))
         self.sizes[name], self.snapshot, self.writing = done.size, done.generation, None
-        os.close(done.fd)
+        close(done.fd)
 
     def renew(self, salt: int, contents: Iterator[tuple[Line, bytes]]) -> None:
         """All in one go: a snapshot and a journal that hold nothing of the files before, which are removed. Raises
@@ -216,7 +226,7 @@
         whole = self.writing = Writing(self._fresh(NEW_SNAPSHOT), self.generation + 1, salt, contents)
         while not whole.more(1 << 20, self.durable):
             pass
-        os.close(self._fresh(NEW_JOURNAL))  # it tells a journal that is being replaced from one that was set back
+        close(self._fresh(NEW_JOURNAL))  # it tells a journal that is being replaced from one that was set back
         self._publish(whole)
         self._begin_journal(whole.generation, salt)
         self.drop_older(keep=0)
@@ -224,7 +234,7 @@
     def abandon(self) -> None:
         """Give up a snapshot that is not whole. What cannot be removed is written over by the next one."""
         if self.writing is not None:
-            os.close(self.writing.fd)
+            close(self.writing.fd)
             self.writing = None
             with suppress(OSError):
                 self._unlink(NEW_SNAPSHOT)
@@ -239,7 +249,9 @@
 
     def close(self) -> None:
         self.abandon()
-        os.close(self.fd)
+        if self.fd >= 0:
+            close(self.fd)
+            self.fd = -1
 
 
 def _generation(name: str) -> int:
@@ -253,6 +265,12 @@
         view = view[os.write(fd, view):]
 
 
+def close(fd: int) -> None:
+    """Linux frees a descriptor whatever close says; what it says of earlier writes is heard at the next sync."""
+    with suppress(OSError):
+        os.close(fd)
+
+
 def sync_folder(path: Path) -> None:
     """A name that was given outlasts a power cut only once its folder is synced. Raises OSError."""
     folder = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
--- a/lemonshunt/net/reasons.py
+++ b/lemonshunt/net/reasons.py
@@ -23,6 +23,7 @@
     ENDPOINT_CLOSED = "endpoint closed"
     RETRY = "retry"
     REFUSAL = "refusal"
+    HELD_BACK = "held back"
     VIOLATION = "violation"
 
 
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -20,6 +20,7 @@
 from lemonshunt.net.http import MOST_BODY, destination
 from lemonshunt.net.listen import Listener, fileno, unread
 from lemonshunt.net.reasons import Reasons, Subject
+from lemonshunt.net.supervise import Supervisor
 
 MOST_HEAD = 16 * 1024
 MOST_READ = 16 * 1024  # read at once from one client: what it has sent besides must not hold up the others
@@ -297,6 +298,9 @@
 
     def close(self, reason: str = "on demand") -> None:
         if self.transport is not None and not self.transport.is_closing():
+            if self.busy is not None and not self.server.ended:
+                self.server.reasons.note(Subject.VIOLATION, f"closed with a request unanswered: {reason}",
+                                         self.busy.headers.get("x-correlation-id", ""))
             self.noted(reason)
             self.transport.close()
 
@@ -344,18 +348,19 @@
     """Listens for clients. `hand_in` gets each well-formed message together with its connection."""
 
     def __init__(self, settings: i.Settings, clock: Callable[[], int], most: int,
-                 hand_in: Callable[[Handed, Door], None], reasons: Reasons | None = None) -> None:
-        self.reasons = reasons or Reasons()
+                 hand_in: Callable[[Handed, Door], None], reasons: Reasons | None = None,
+                 supervisor: Supervisor | None = None) -> None:
+        self.reasons, self.supervisor = reasons or Reasons(), supervisor or Supervisor()
         self.settings, self.clock, self.most, self.hand_in = settings, clock, most, hand_in
         self.doors: set[Door] = set()
         self.closing: set[Door] = set()  # those of them that are closed here, and whose descriptors are not free yet
         self.buffer = memoryview(bytearray(MOST_READ))  # for all doors: what is read is copied at once
-        self.leaving = False
+        self.leaving = self.ended = False
         self.listener: Listener | None = None
 
     def listen(self, sock: socket.socket) -> None:
         self.listener = Listener(sock, BACKLOG, lambda: Door(self), self.room, self.short)
-        asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+        self.supervisor.repeat("sweep of clients", SWEEP_S, self.sweep)
 
     async def adopt(self, sock: socket.socket, told: dict[str, Any]) -> None:
         """Go on with a client's connection of the process before."""
@@ -417,7 +422,6 @@
                 door.answer(HTTPStatus.REQUEST_TIMEOUT, "the request did not come to its end")
             elif door.idle() and not door.asked and door.made_us < old:
                 door.close("no request came")
-        asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
     def handle(self, door: Door, request: Request) -> None:
         if request.bad is not None:
@@ -447,6 +451,7 @@
             door.close("sent away between requests")
 
     def close(self) -> None:
+        self.ended = True
         if self.listener is not None:
             self.listener.close()
         for door in list(self.doors):
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -19,6 +19,7 @@
 
 import logging
 import secrets
+import time
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -30,6 +31,7 @@
 
 SECOND = 1_000_000
 ROOM = 128 * 1024  # kept free for the small records that follow a message that was taken on
+FIRST_RETRY_S, MOST_RETRY_S = 0.05, 1.0  # pauses between attempts to write anew after a failure: doubled up to the top
 LEAST_COMPACT = 256 * 1024  # below this size the files are left to grow
 STEP = 64 * 1024  # bytes of a snapshot that are written at once: under a millisecond
 MOST_FILES = 8  # what rounding them up to whole blocks may take
@@ -92,6 +94,11 @@
         self.seq = -1
         self.live, self.list_size, self.ended_size = 0, 0, 0
         self.failed, self.compactions = False, 0
+        """Whether the files may lack what memory has: until all is written anew."""
+        self.owned = False
+        self.retry_at_s, self.retry_pause_s, self.write_failures = 0.0, FIRST_RETRY_S, 0
+        self.unwritten_ends: dict[str, int] = {}
+        """Ends that are owed and not on record, each with the time at which its message is over in any case."""
         self.pending: list[bytes] = []
         self.touched: set[str] = set()  # ids that later records tell of, whose message itself is lost
         self.found = journal.assemble(self.files.names(), self.files.read, salt)
@@ -126,13 +133,23 @@
         self.files.durable = to
 
     def own(self) -> Store:
-        """From here on the journal is written, by this process alone. Raises OSError."""
-        self.files.own(self.found, self.salt)
-        if (self.found.damaged or self.found.version < journal.VERSION) and not self.compact() and (
-                self.found.version < journal.VERSION):
+        """From here on the journal is written, by this process alone. A folder that cannot be written just now costs
+        what comes new, and is tried again. Raises OSError where it is of a version that cannot be gone on with."""
+        try:
+            self._own()
+        except OSError as error:
+            self._cannot(error)
+        if self.found.version < journal.VERSION and self.failed:
             raise OSError(f"{self.files.folder} is of an older version, and cannot be written anew")
         return self
 
+    def _own(self) -> None:
+        """Raises OSError."""
+        self.files.own(self.found, self.salt)
+        self.owned = True
+        if self.found.damaged or self.found.version < journal.VERSION:
+            self.compact()
+
     # Reading
 
     def replay(self, found: journal.Found) -> None:
@@ -285,6 +302,7 @@
 
     def owe(self, name: str, state: str, after_ms: int) -> None:
         owed = [name, state, after_ms, self.messages[name].key]
+        self.unwritten_ends[name] = self.messages[name].due_us
         self._owed(owed)
         self.append("owed", *owed)
 
@@ -351,31 +369,68 @@
         others += 60 * (len(self.names) + len(self.bans))
         return not self.failed and 2 * (self.live + more + PER_MESSAGE + others) + ROOM <= self.files.most - self.aside
 
-    def flush(self) -> None:
-        """Write what was gathered, and a little more of a snapshot that is being written."""
-        if self.pending:
-            data = b"".join(self.pending)
-            self.pending = []
-            if (self.failed or self._crowded(len(data))) and self._made_anew(len(data)):
-                return
+    def flush(self) -> bool:
+        """Write what was gathered, and a little more of a snapshot that is being written. Whether all that was ever
+        gathered is written now: nothing may leave that an unwritten record precedes (see docs/state.md)."""
+        if self.pending or self.failed:
+            self._write()
+        if not self.failed:
+            self.unwritten_ends.clear()
+            self.step()
+        return not self.failed
+
+    def _write(self) -> None:
+        data, self.pending = b"".join(self.pending), []
+        if self.failed:
+            self.retry()
+            return
+        if self._crowded(len(data)) and self._made_anew(len(data)):
+            return
+        try:
+            self.files.append(data)
+        except OSError as error:
+            # A full disk must not end the process: what is held is delivered, new work is refused.
+            self._cannot(error)
+            self.retry()  # the one moment may be over
+
+    def retry(self) -> bool:
+        """Write all anew, after a failure, if it is time to try that again. Whether the files have everything now."""
+        if self.failed and time.monotonic() >= self.retry_at_s:
             try:
-                self.files.append(data)
+                if not self.owned:
+                    self._own()
+                self.compact()
             except OSError as error:
-                # A full disk must not end the process: what is held is delivered, new work is refused.
-                log.error("journal: cannot write: %s", error)
-                self.files.abandon()
-                self.failed = True
-                return
-        self.step()
+                self._cannot(error)
+            if self.failed:
+                self.retry_at_s = time.monotonic() + self.retry_pause_s
+                self.retry_pause_s = min(2 * self.retry_pause_s, MOST_RETRY_S)
+            else:
+                log.warning("journal: can be written again; all is written anew")
+                self.retry_pause_s = FIRST_RETRY_S
+        return not self.failed
+
+    def forget(self, name: str) -> None:
+        """A message that was never taken on after all, since that could not be written."""
+        m = self.messages.pop(name, None)
+        if m is not None:
+            self.live -= m.size
+
+    def may_tell(self, name: str, now_us: int) -> bool:
+        """Whether an end may be told to the platform: it is on record, or its message's time is over, so that a restart
+        that finds the message again can only end it too."""
+        return not self.failed or self.unwritten_ends.get(name, now_us) <= now_us
 
     def step(self) -> None:
         """Begin a snapshot where one is due, or write a little more of it."""
+        if self.failed:
+            return
         if self.files.writing is not None:
             try:
                 self.compactions += self.files.step(STEP)
             except OSError as error:
                 self._cannot(error)
-        elif not self.failed and self.size > max(LEAST_COMPACT, 4 * self._kept()):
+        elif self.size > max(LEAST_COMPACT, 4 * self._kept()):
             self.begin_snapshot()
 
     def begin_snapshot(self) -> None:
@@ -389,7 +444,9 @@
 
     def _cannot(self, error: OSError) -> None:
         """Until all is written anew, the files may lack what memory has."""
-        log.error("journal: cannot compact: %s", error)
+        self.write_failures += 1
+        if not self.failed:
+            log.error("journal: cannot write: %s; new work is refused until it can be written anew", error)
         self.failed = True
         self.files.abandon()
 
@@ -434,6 +491,7 @@
             self._cannot(error)
             self.number = before
             return False
+        self.unwritten_ends.clear()
         self.failed, self.pending = False, []  # memory is ahead of the files, so the new ones hold these too
         self.compactions += 1
         return True
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -36,6 +36,8 @@
     key: str | None
     over_share: bool
     attempts: int = 0
+    held_back: int = 0
+    """Attempts that this machine could not make: they do not count as tries."""
     out: int = 0
     ran_at: int = -1
     """When the first attempt that may have run was sent; -1 while none may have."""
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Any
 
-from lemonshunt.net.engine import Clock
+from lemonshunt.net.clock import Clock
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE = 20.0  # seconds that a test waits for an event before it fails; nothing asserts on speed
--- a/tests/test_freed.py
+++ b/tests/test_freed.py
@@ -11,9 +11,9 @@
 
 import pytest
 
+from lemonshunt.net.clock import Clock
 from lemonshunt.net.config import Address
 from lemonshunt.net.discovery import Channel, Client
-from lemonshunt.net.engine import Clock
 from lemonshunt.net.http import ResponseReader
 from lemonshunt.net.listen import bind
 from lemonshunt.net.server import Door, Server
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,9 +13,10 @@
 from lemonshunt import interface as i
 from lemonshunt.choice import Dispatcher
 from lemonshunt.net.client import Call, Connection, Item, Pool
+from lemonshunt.net.clock import Clock
 from lemonshunt.net.config import Address, load
 from lemonshunt.net.control import Control
-from lemonshunt.net.engine import Clock, Engine
+from lemonshunt.net.engine import Engine
 from lemonshunt.net.listen import bind
 from lemonshunt.net.server import Door, Handed, Server
 from lemonshunt.net.store import MOST_ENDED, Store, Taken
