Play failing calls, short reads and stepped clocks on the real program

Change: lab/shim.py runs the program with chosen calls on the state folder or on sockets failing by errno and share, short reads and writes, and a stepped wall clock, told by a file while it runs; the lab's schedule has kinds errors and clock; tests/test_faults.py plays them on the real program: each call on the folder failing at a start, in service and at the end, then SIGKILL and a healthy start; steps of the clock, running and over a restart; failures of this machine; accepts; an error that nobody foresaw in the task of notices.

--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -19,6 +19,7 @@
 from lab.launcher import Launcher, Process
 from lab.net import Where
 from lab.record import Record
+from lab.shim import Control, Failure
 
 KILL_AFTER_S = 3.7
 """SIGKILL follows SIGTERM no sooner (PROTOCOL)."""
@@ -26,15 +27,7 @@
 """A full disk has room for so much more."""
 TICKS = os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
-SKEWED = """
-import runpy, sys, time
-real, by = time.time_ns, int(sys.argv.pop(1))
-time.time_ns = lambda: real() + by
-time.time = lambda: time.time_ns() / 1e9
-sys.argv[0] = "lemonshunt"
-runpy.run_module("lemonshunt", run_name="__main__", alter_sys=True)
-"""
-"""Starts the program with a wall clock that is off, without special rights."""
+SHIM = Path(__file__).resolve().parent / "shim.py"
 
 
 @dataclass(slots=True)
@@ -61,6 +54,10 @@
     launcher: Launcher
     parts: str | None = None
     skew_s: float = 0.0
+    failures: list[Failure] = field(default_factory=list)
+    """System calls that fail now."""
+    shimmed: bool = False
+    """It runs with the calls that the schedule makes fail."""
     process: Process | None = None
     former: Process | None = None
     """The one before, while another takes over from it."""
@@ -79,13 +76,20 @@
         (self.root / "config.json").write_text(json.dumps(self.config))
         if self.parts is not None:
             (self.root / "parts.toml").write_text(self.parts)
+        self.tell_shim()
+
+    def tell_shim(self) -> None:
+        """Say which calls fail from now on, and how far the wall clock is off; while it runs too."""
+        Control(self.skew_s, self.failures).write(self.root / "control.json")
 
     async def _spawn(self) -> Process:
         env = {**os.environ, "LB_NAME": self.name, "LB_LISTEN": self.config["listen"],
                "LB_CONTROL": self.config["control"], "LB_DISCOVERY": self.config["discovery"],
                "LB_STATE": str(self.state), "LB_CONFIG": str(self.root / "config.json"),
                "PYTHONDONTWRITEBYTECODE": "1"}
-        command = ["-m", "lemonshunt"] if not self.skew_s else ["-c", SKEWED, str(round(self.skew_s * 1e9))]
+        command = ["-m", "lemonshunt"]
+        if self.shimmed:
+            command = [str(SHIM), str(self.root / "control.json"), str(self.state)]
         if self.parts is not None:
             command += ["--parts", str(self.root / "parts.toml")]
         return await self.launcher.start([sys.executable, *command], self.program, env, self.root / "log",
--- a/lab/run.py
+++ b/lab/run.py
@@ -31,6 +31,7 @@
 from lab.plan import AIM_S, DEADLINE_S, KINDS, LATE_WORTH, ONCE, STATUS, WORTH, Act, Endpoint, Plan
 from lab.record import Record
 from lab.scenario import Fault, Limits
+from lab.shim import Failure
 
 START_S = 90.0
 TICK_S = 0.01
@@ -40,6 +41,8 @@
 REPORT_S = 5.0
 REMOVED_S = 3.0
 """A drained endpoint leaves the list after this, and goes as long after that."""
+SHIMMED = ("errors", "clock")
+"""Kinds of faults that need the forwarders to run with replaced calls."""
 OCTETS = {"node": 10, "discovery": 11, "post": 12, "endpoint": 20}
 """Second octets of the addresses in 127.0.0.0/8."""
 
@@ -202,7 +205,8 @@
                            "disk_mb": s.fleet.disk_mb},
                 "known": self.discovery.listing(name), "settings": {**known, "balancers": self.plan.believed[n]}}
             node = Node(name, self.out / "nodes" / name, self.program, config, self.record,
-                        self.launcher, self.parts_of(n), self.plan.skews_s[n])
+                        self.launcher, self.parts_of(n), self.plan.skews_s[n],
+                        shimmed=s.fleet.skew_s > 0 or any(f.kind in SHIMMED or f.clock_s for f in s.faults))
             node.control = (here, self.port + 2)
             node.prepare()
             self.nodes[name] = node
@@ -274,6 +278,7 @@
         if f.folder == "lost":
             self.clients.machine_lost(name)
         node.skew_s += f.clock_s
+        node.tell_shim()
         if f.back_s is None:
             node.wanted = False
             return
@@ -330,6 +335,25 @@
             for name in act.names:
                 self.nodes[name].fill_disk(False)
 
+    async def play_errors(self, act: Act) -> None:
+        """Chosen system calls of the forwarders fail for a while."""
+        f = act.fault
+        failure = Failure(f.call or "", f.errno, f.rate)
+        for name in act.names:
+            self.nodes[name].failures.append(failure)
+            self.nodes[name].tell_shim()
+        await asyncio.sleep(f.for_s or 0.0)
+        for name in act.names:
+            self.nodes[name].failures.remove(failure)
+            self.nodes[name].tell_shim()
+        self.record.note("healed")
+
+    async def play_clock(self, act: Act) -> None:
+        """The wall clock is stepped while the forwarder runs."""
+        for name in act.names:
+            self.nodes[name].skew_s += act.fault.clock_s
+            self.nodes[name].tell_shim()
+
     async def play_cut(self, act: Act) -> None:
         f, links = act.fault, list(self.links(act))
         if f.effect == "reset":
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 from pathlib import Path
 from typing import Annotated, Literal
@@ -9,6 +10,8 @@
 import msgspec
 from msgspec import Meta
 
+from lab.shim import CALLS
+
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Span = tuple[float, float]
 Positive = Annotated[float, Meta(gt=0.0)]
@@ -102,7 +105,7 @@
 
     at_s: Duration
     kind: Literal["kill", "term", "upgrade", "stop", "full", "cut", "outage", "limit", "drain", "replace", "discovery",
-                  "call", "datagrams", "slow"]
+                  "call", "datagrams", "slow", "errors", "clock"]
     share: Share | None = None
     """Of the forwarders (or the endpoints, for outage, limit, drain, replace)."""
     names: tuple[str, ...] = ()
@@ -117,7 +120,7 @@
     folder: Literal["kept", "lost", "old", "short", "byte", "block"] = "kept"
     old_s: Duration = 10.0
     clock_s: Annotated[float, Meta(ge=-7200.0, le=7200.0)] = 0.0
-    """The forwarder's wall clock has jumped by this when it is started again."""
+    """The forwarder's wall clock has jumped by this when it is started again; for `clock`, while it runs."""
     waves: Count = 1
     every_s: Duration = 0.0
     between: Literal["endpoints", "discovery", "front", "nodes"] | None = None
@@ -133,6 +136,11 @@
     loss: Share = 0.0
     doubled: Share = 0.0
     swapped: Share = 0.0
+    call: str | None = None
+    """Which system call fails (lab/shim.py, CALLS)."""
+    errno: str = "EIO"
+    rate: Share = 1.0
+    """Share of those calls that fail."""
     times: Positive | None = None
     """A limit becomes so many times what it was; discovery's room and a slowed forwarder's processor time likewise."""
     line: str | None = None
@@ -170,7 +178,8 @@
 
 NEEDS: dict[str, tuple[str, ...]] = {
     "stop": ("for_s",), "cut": ("between", "for_s"), "outage": ("for_s",), "limit": ("times",), "call": ("line",),
-    "discovery": ("for_s",), "datagrams": ("for_s",), "slow": ("for_s", "times")}
+    "discovery": ("for_s",), "datagrams": ("for_s",), "slow": ("for_s", "times"),
+    "errors": ("for_s", "call"), "clock": ("clock_s",)}
 
 
 def load(path: Path, nodes: int | None = None, seed: int | None = None) -> Scenario:
@@ -214,8 +223,13 @@
         if fault.on is not None and fault.kind != "kill":
             raise BadScenario(f"faults[{n}].on: only for kill")
         for key in ("folder", "clock_s"):
-            if getattr(fault, key) not in ("kept", 0.0) and fault.kind not in ("kill", "term"):
+            if getattr(fault, key) not in ("kept", 0.0) and (
+                    fault.kind not in ("kill", "term") and (key, fault.kind) != ("clock_s", "clock")):
                 raise BadScenario(f"faults[{n}].{key}: only for kill and term")
+        if fault.call is not None and fault.call not in CALLS:
+            raise BadScenario(f"faults[{n}].call: not one of {', '.join(CALLS)}")
+        if not hasattr(errno, fault.errno):
+            raise BadScenario(f"faults[{n}].errno: no error of that name")
         if fault.kind == "slow" and not 0.05 <= (fault.times or 0.0) < 1.0:
             raise BadScenario(f"faults[{n}].times: for slow from 0.05 to under 1")
     return s
--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -7,7 +7,8 @@
 import logging
 import signal
 import sys
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 from dataclasses import astuple
 
 from lemonshunt.journal import NewerFormat
@@ -18,9 +19,24 @@
 from lemonshunt.net.listen import bind
 from lemonshunt.net.upgrade import Heritage, Ownership
 
+READ_PATIENCE_S = 20.0  # a start has to be ready within 30 s
+READ_AGAIN_S = 0.2
 log = logging.getLogger("lemonshunt")
 
 
+async def patiently(make: Callable[[], Engine]) -> Engine:
+    """Make the engine, which reads the journal; again for a while where reading fails."""
+    patience = time.monotonic() + READ_PATIENCE_S
+    while True:
+        try:
+            return make()
+        except OSError as error:
+            if time.monotonic() > patience:
+                raise
+            log.error("the journal cannot be read, trying again: %s", error)
+        await asyncio.sleep(READ_AGAIN_S)
+
+
 async def serve(config: Config, parts: Sequence[Maker] = ()) -> None:
     loop = asyncio.get_running_loop()
     hups: list[int] = []  # those that came before there was anything to tell of them
@@ -35,7 +51,8 @@
     async def make(heritage: Heritage | None) -> Engine:
         if heritage is None:
             # The address before the journal: where another forwarder serves, nothing may be sent.
-            return Engine(config, ownership, control, await bind(config.listen), parts=parts)
+            clients = await bind(config.listen)
+            return await patiently(lambda: Engine(config, ownership, control, clients, parts=parts))
         clients = heritage.socket(heritage.told["clients"])
         if clients.getsockname()[:2] != astuple(config.listen):
             clients = await bind(config.listen)
--- a/lemonshunt/net/upgrade.py
+++ b/lemonshunt/net/upgrade.py
@@ -75,9 +75,14 @@
     """The lock and the socket of one folder."""
 
     def __init__(self, folder: Path) -> None:
-        folder.mkdir(parents=True, exist_ok=True)
-        self.fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        self.folder = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        self.fd = self.folder = -1
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self.fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            self.folder = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        except OSError as error:
+            # Whoever else serves here has the listening address, so that this process will not come to serve.
+            log.error("the lock cannot be had, going on without it: %s", error)
         # By way of the descriptor, since the path of a Unix socket may not be longer than 107 bytes.
         self.path = f"/proc/self/fd/{self.folder}/upgrade"
         self.listener: socket.socket | None = None
@@ -85,6 +90,8 @@
 
     def free(self) -> bool:
         """Take the lock if nobody has it. Where locks are refused, nobody can have it."""
+        if self.fd < 0:
+            return True
         try:
             fcntl.flock(self.fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import Any
 
+from lab.shim import LOOK_S, Control, Failure
 from lemonshunt.net.clock import Clock
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -245,6 +246,7 @@
         self.port, self.control = free_ports(2, self.host)
         self.log: list[str] = []
         self.arguments: list[str] = []
+        self.shim: Control | None = None  # set: the program runs with calls that fail (lab/shim.py)
         (folder / "state").mkdir(exist_ok=True)
         settings = {**SETTINGS, "discovery": discovery, "allowed": {**SETTINGS["allowed"], **allowed}}
         config = {"name": "n0", "seed": "5", "listen": f"{self.host}:{self.port}",
@@ -264,12 +266,20 @@
         other.log, other.control = [], free_port(self.host)
         return other
 
+    async def fail(self, *failures: Failure, clock_s: float = 0.0) -> None:
+        """Which system calls fail from now on, and how far the wall clock is off. Returns once the program heeds it."""
+        self.shim = Control(clock_s, list(failures))
+        self.shim.write(self.folder / "control.json")
+        await asyncio.sleep(4 * LOOK_S)
+
     async def start(self, ready: bool = True) -> Node:
         env = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"),
                "LB_STATE": str(self.folder / "state"), "LB_CONTROL": f"{self.host}:{self.control}",
                "LB_DISCOVERY": json.loads((self.folder / "config.json").read_text())["discovery"]}
+        program = ["-m", "lemonshunt"] if self.shim is None else [
+            str(ROOT / "lab/shim.py"), str(self.folder / "control.json"), str(self.folder / "state")]
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lemonshunt", *self.arguments, cwd=ROOT, env=env,
+            sys.executable, *program, *self.arguments, cwd=ROOT, env=env,
             stderr=asyncio.subprocess.PIPE)
         self.drain = asyncio.create_task(self.read_log())
         self.ready = asyncio.Event()
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,244 @@
+"""Failing writes, stepped clocks and failing system calls, played on the real program (lab/shim.py)."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from lab.shim import FILE_CALLS, Failure
+from lemonshunt.net.clock import Anchor, base_ns
+from lemonshunt.net.config import Address
+from lemonshunt.net.discovery import Notices
+from lemonshunt.net.store import Owed
+from lemonshunt.net.supervise import Supervisor
+from tests.sockets import OK, PATIENCE, Answer, Node, Platform, always
+from tests.test_node import folder_nodes, ids, play, target
+
+FULL_DISK = (Failure("write", "ENOSPC"), Failure("open", "ENOSPC"))
+MESSAGES = 40
+LARGE = b"x" * 9000  # so many of these make a snapshot due
+
+
+async def shimmed(folder: Path, platform: Platform, *failures: Failure, clock_s: float = 0.0) -> Node:
+    """The program, with calls that may fail, from its start on."""
+    node = Node(folder, platform)
+    folder_nodes[-1].append(node)
+    await node.fail(*failures, clock_s=clock_s)
+    return await node.start()
+
+
+async def answers(node: Node, names: list[str], cls: str = "status", body: bytes = b"hello") -> dict[str, int]:
+    """What each hand-in is answered: always something."""
+    return {name: (await node.hand_in(name, cls, body=body))[0] for name in names}
+
+
+async def until_taken(node: Node, cls: str = "status") -> str:
+    """Hand messages in until one is taken on. Its name."""
+    async with asyncio.timeout(PATIENCE):
+        for n in range(10_000):
+            if (await node.hand_in(f"again-{n}", cls))[0] == 202:
+                return f"again-{n}"
+            await asyncio.sleep(0.05)
+    raise AssertionError("never taken on")
+
+
+def test_what_cannot_be_written_is_refused_and_taken_on_again_once_it_can(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        node = await shimmed(folder, platform)
+        assert (await answers(node, ["before"])) == {"before": 202}
+        await peer.got(1)
+        await node.fail(*FULL_DISK)
+        refused = await answers(node, ["a", "b", "c"])
+        assert set(refused.values()) == {503}, refused
+        await node.fail()
+        taken = await until_taken(node)  # with nothing held, and no work that could be written before
+        await peer.got(2)
+        await node.restart()
+        await asyncio.sleep(0.5)
+        assert set(ids(peer)) == {"before", taken}
+    play(scene, tmp_path)
+
+
+@pytest.mark.parametrize(("cls", "leaves"), [("status", True), ("pay", False)])
+def test_only_calls_that_may_be_repeated_leave_unrecorded(tmp_path: Path, cls: str, leaves: bool) -> None:
+    """The others end in time by a notice, or go once their attempt can be written."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(Answer(429, {"X-RateLimit-Wait-Ms": "600"}), OK))
+        node = await shimmed(folder, platform)
+        assert (await node.hand_in("long", cls, left="50"))[0] == 202
+        await peer.got(1)
+        await node.fail(*FULL_DISK)
+        await asyncio.sleep(1.5)
+        assert len(peer.requests) == (2 if leaves else 1)
+        await node.fail()
+        await peer.got(2)
+        assert ids(peer) == ["long", "long"] and not platform.notices
+        assert "violations: none" in await node.call(b"RULES\n")
+    play(scene, tmp_path)
+
+
+def test_what_is_held_is_ended_in_time_though_nothing_can_be_written(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(Answer(429, {"X-RateLimit-Wait-Ms": "60000"})))
+        node = await shimmed(folder, platform)
+        handed_s = time.monotonic()
+        assert (await node.hand_in("held", "pay", left="2.5"))[0] == 202
+        await peer.got(1)
+        await node.fail(*FULL_DISK)
+        await platform.notice("held")
+        assert time.monotonic() - handed_s > 0  # it came; the lab's judge bounds how late
+    play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("moment", ["start", "service", "end"])
+@pytest.mark.parametrize("call", FILE_CALLS)
+def test_any_call_on_the_state_folder_may_fail(tmp_path: Path, call: str, moment: str) -> None:
+    """At the start, in service with a snapshot under way, or at the end; then SIGKILL and a healthy start. Each client
+    is answered, what was taken on is delivered, and what was refused is not."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        failure = Failure(call, "EIO")
+        node = await shimmed(folder, platform, *((failure,) if moment == "start" else ()))
+        if moment == "service":
+            told = await answers(node, [f"m{n}" for n in range(MESSAGES // 2)], body=LARGE)
+            await node.fail(failure)
+            told |= await answers(node, [f"m{n}" for n in range(MESSAGES // 2, MESSAGES)], body=LARGE)
+        else:
+            told = await answers(node, [f"m{n}" for n in range(5)])
+        if moment == "end":
+            await node.fail(failure)
+            await node.end(signal.SIGTERM)
+        else:
+            await node.end()
+        await node.fail()
+        await node.start()
+        taken = {name for name, status in told.items() if status == 202}
+        assert set(told.values()) <= {202, 503} and (taken or moment == "start")
+        await peer.until(lambda: taken <= set(ids(peer)))
+        assert not platform.notices
+        assert await until_taken(node)
+        assert set(ids(peer)) <= taken | {name for name in ids(peer) if name.startswith("again")}
+    play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("steps", [(0.0, 3600.0), (0.0, -3600.0), (3600.0, 0.0)], ids=["forward", "back", "set right"])
+@pytest.mark.parametrize("running", [True, False], ids=["while it runs", "over a restart"])
+def test_a_step_of_the_wall_clock_moves_no_time(tmp_path: Path, steps: tuple[float, float], running: bool) -> None:
+    """A message that is held with time left is delivered once its destination's wait is over, no sooner."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(Answer(503), Answer(429, {"X-RateLimit-Wait-Ms": "1500"}), OK))
+        node = await shimmed(folder, platform, clock_s=steps[0])
+        assert (await node.hand_in("held", "status", left="12"))[0] == 202
+        await peer.got(2)
+        told_s = time.monotonic()
+        if running:
+            await node.fail(clock_s=steps[1])
+        else:
+            await node.end()
+            await node.fail(clock_s=steps[1])
+            await node.start()
+        await peer.got(3)
+        assert not running or time.monotonic() - told_s > 1.4
+        await asyncio.sleep(0.2)
+        assert ids(peer) == ["held"] * 3 and not platform.notices
+    play(scene, tmp_path)
+
+
+BOOT, OTHER = "boot-1", "boot-2"
+S = 1_000_000_000
+ANCHORS = {  # anchor, boot, monotonic, wall; what the clock says then
+    "none": (None, BOOT, 5 * S, 1000 * S, 1000 * S),
+    "same boot, wall an hour ahead": (Anchor(BOOT, 5 * S, 1000 * S), BOOT, 8 * S, 4603 * S, 1003 * S),
+    "same boot, wall an hour behind": (Anchor(BOOT, 5 * S, 1000 * S), BOOT, 8 * S, -2597 * S, 1003 * S),
+    "another boot": (Anchor(BOOT, 500 * S, 1000 * S), OTHER, 20 * S, 1100 * S, 1100 * S),
+    "another boot, wall set back": (Anchor(BOOT, 500 * S, 1000 * S), OTHER, 20 * S, 700 * S, 1020 * S),
+    "boots unknown, monotonic set back": (Anchor("", 500 * S, 1000 * S), "", 20 * S, 1100 * S, 1100 * S),
+}
+
+
+@pytest.mark.parametrize(("anchor", "boot", "monotonic", "wall", "says"), ANCHORS.values(), ids=ANCHORS)
+def test_the_clock_goes_on_over_restarts(
+        anchor: Anchor | None, boot: str, monotonic: int, wall: int, says: int) -> None:
+    assert base_ns(anchor, boot, monotonic, wall) + monotonic == says
+
+
+LOCAL = [("socket", "ENFILE"), ("socket", "ENOBUFS"), ("connect", "EADDRNOTAVAIL"), ("connect", "ENETUNREACH")]
+
+
+@pytest.mark.parametrize(("call", "error"), LOCAL)
+def test_a_failure_of_this_machine_costs_no_try_and_tells_nothing_of_an_endpoint(
+        tmp_path: Path, call: str, error: str) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        node = await shimmed(folder, platform)
+        await platform.got(2)  # its watch is up
+        await node.fail(Failure(call, error))
+        assert (await node.hand_in("held", "pay"))[0] == 202
+        await asyncio.sleep(1.0)  # six tries, the most there may be, would be over
+        assert not peer.requests and not platform.notices
+        await node.fail()
+        await peer.got(1)
+        assert "in outage" not in "".join(node.log)
+    play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("failure", [Failure("accept", "ECONNABORTED", 0.5), Failure("accept", "ENFILE", 0.5),
+                                     Failure("accept", "ENOBUFS", 0.5), Failure("short", share=0.7)],
+                         ids=lambda failure: f"{failure.call}-{failure.errno}")
+def test_clients_are_served_through_failing_accepts_and_short_reads(tmp_path: Path, failure: Failure) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        node = await shimmed(folder, platform, failure)
+        names = [f"m{n}" for n in range(20)]
+        assert set((await answers(node, names, body=bytes(range(256)))).values()) == {202}
+        await peer.got(20)
+        assert sorted(ids(peer)) == sorted(names) and {r.body for r in peer.requests} == {bytes(range(256))}
+    play(scene, tmp_path)
+
+
+class Book:
+    """One end that is owed."""
+
+    def __init__(self) -> None:
+        self.owed = {"m": Owed("failed", 0, None)}
+
+    def owed_ends(self) -> dict[str, Owed]:
+        return self.owed
+
+    def acknowledged(self, names: list[str]) -> None:
+        for name in names:
+            del self.owed[name]
+
+
+def test_notices_go_on_after_an_error_that_nobody_foresaw() -> None:
+    async def scene() -> None:
+        platform = await Platform().start()
+        supervisor = Supervisor()
+        book = Book()
+        notices = Notices(Address("127.0.0.1", platform.port), book, supervisor)
+        real: Callable[..., Awaitable[object]] = notices.client.ask
+        failing = [RuntimeError("unforeseen"), AssertionError()]
+
+        async def ask(*args: object, **named: object) -> object:
+            if failing:
+                raise failing.pop()
+            return await real(*args, **named)
+        notices.client.ask = ask  # type: ignore[assignment, method-assign]
+        notices.kick()
+        await platform.notice("m")
+        async with asyncio.timeout(PATIENCE):
+            while book.owed:
+                await asyncio.sleep(0.01)
+        assert supervisor.failures == {"notices": 2}
+    asyncio.run(scene())
+
+
+
+
+
