--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -1,4 +1,4 @@
-"""The command line: python -m lab run | list | compare | sweep | plot | gates | way."""
+"""The command line: python -m lab run | list | compare | sweep | soak | plot | gates | way."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 import click
 import msgspec
 
-from lab import gates, plan, record, run, scenario
+from lab import gates, plan, record, run, scenario, soak
 
 ROOT = Path(__file__).resolve().parent.parent
 HERE = Path(__file__).resolve().parent / "scenarios"
@@ -149,6 +149,31 @@
     sys.exit(max(result.verdict() for result in results))
 
 
+@cli.command("soak")
+@click.option("--seeds", type=click.IntRange(1, 1000), default=20, help="So many, from the first on.")
+@click.option("--first", type=int, default=1)
+@click.option("--nodes", type=click.IntRange(2, 40), default=12)
+@click.option("--program", type=click.Path(exists=True, file_okay=False, path_type=Path), default=ROOT,
+              help="The checkout whose forwarders are started.")
+@click.option("--out", type=click.Path(path_type=Path), default=Path("lab-out/soak"))
+def soak_(seeds: int, first: int, nodes: int, program: Path, out: Path) -> None:
+    """Random faults that overlap, a schedule a seed. Exits 1 where one fails, 2 where the lab was late."""
+    verdicts = []
+    for seed in range(first, first + seeds):
+        folder = out / str(seed)
+        result = played(plan.make(soak.scenario(seed, nodes)), folder, program.resolve(), None)
+        verdict = soak.judge(seed, result, folder)
+        verdicts.append(verdict)
+        word = ("passed" if verdict.passed else "FAILED") + ("" if result.counts_for else ", does not count: late")
+        click.echo(f"seed {seed}: {word}; {result.figures['delivered']} of {result.figures['asked']} delivered, "
+                   f"{result.costs['starts']} starts, the lab {result.lateness_ms['most']:.0f} ms late at most")
+        for line in verdict.lines():
+            click.echo(f"  {line}")
+    click.echo(f"{sum(v.passed for v in verdicts)} of {len(verdicts)} seeds passed, "
+               f"{sum(not v.result.counts_for for v in verdicts)} do not count")
+    sys.exit(1 if not all(v.passed for v in verdicts) else max(0 if v.result.counts_for else 2 for v in verdicts))
+
+
 def swept(results: list[run.Result]) -> list[str]:
     """What many plays of one scenario came to."""
     rules = Counter(f.rule for result in results for f in result.findings)
--- a/lab/endpoints.py
+++ b/lab/endpoints.py
@@ -163,7 +163,7 @@
     def lost(self) -> None:
         """The connection is of no use any more: its call ends, and answers that the link held back never leave."""
         calls = [call for call, *_ in self.writing] + ([] if self.call is None else [self.call])
-        self.call, self.writing = None, []
+        self.call, self.writing, self.mute = None, [], True
         for call in calls:
             call.over = True
             for ident in call.ids:
--- a/lab/net.py
+++ b/lab/net.py
@@ -92,6 +92,8 @@
         self.going: list[bytes] = []
         self.later = {True: 0.0, False: 0.0}
         self.closing_after = False
+        self.mute = False
+        """Nothing leaves any more, also of what the link has held back or delayed."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -133,7 +135,7 @@
         loop.call_at(self.later[inward], do, data)
 
     def write(self, data: bytes) -> None:
-        if self.transport is not None and not self.transport.is_closing():
+        if self.transport is not None and not self.transport.is_closing() and not self.mute:
             self.transport.write(data)
             self.sent(data)
             if self.closing_after and not self.going:
--- a/lab/run.py
+++ b/lab/run.py
@@ -348,6 +348,23 @@
             self.nodes[name].tell_shim()
         self.record.note("healed")
 
+    async def play_crowd(self, act: Act) -> None:
+        """Clients that connect all at once and stay; half of them ask something first."""
+        writers: list[asyncio.StreamWriter] = []
+
+        async def visit(name: str, ask: bool) -> None:
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(*self.front.seen[name].where)
+                writers.append(writer)
+                if ask:
+                    writer.write(b"GET /up HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
+        await asyncio.gather(*(visit(name, n % 2 == 0) for name in act.names
+                               for n in range(act.fault.connections or 0)))
+        await asyncio.sleep(act.fault.for_s or 0.0)
+        for writer in writers:
+            writer.close()
+        self.record.note("healed")
+
     async def play_clock(self, act: Act) -> None:
         """The wall clock is stepped while the forwarder runs."""
         for name in act.names:
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -105,7 +105,7 @@
 
     at_s: Duration
     kind: Literal["kill", "term", "upgrade", "stop", "full", "cut", "outage", "limit", "drain", "replace", "discovery",
-                  "call", "datagrams", "slow", "errors", "clock"]
+                  "call", "datagrams", "slow", "errors", "clock", "crowd"]
     share: Share | None = None
     """Of the forwarders (or the endpoints, for outage, limit, drain, replace)."""
     names: tuple[str, ...] = ()
@@ -138,6 +138,8 @@
     swapped: Share = 0.0
     call: str | None = None
     """Which system call fails (lab/shim.py, CALLS)."""
+    connections: Count | None = None
+    """Of a crowd: so many clients connect to each forwarder at once, ask whether it is up or nothing, and stay."""
     errno: str = "EIO"
     rate: Share = 1.0
     """Share of those calls that fail."""
@@ -179,7 +181,7 @@
 NEEDS: dict[str, tuple[str, ...]] = {
     "stop": ("for_s",), "cut": ("between", "for_s"), "outage": ("for_s",), "limit": ("times",), "call": ("line",),
     "discovery": ("for_s",), "datagrams": ("for_s",), "slow": ("for_s", "times"),
-    "errors": ("for_s", "call"), "clock": ("clock_s",)}
+    "errors": ("for_s", "call"), "clock": ("clock_s",), "crowd": ("for_s", "connections")}
 
 
 def load(path: Path, nodes: int | None = None, seed: int | None = None) -> Scenario:
