Hand half-sent calls of operators over in a test, however slowly the new process starts

Cause: the old process answers half a line after 0.5 s, and the test sent one half line before it started the new process, which on a busy machine takes longer than that to start: it failed on a new machine. Change: half lines are begun every 0.1 s until the old process says that it handed over; each has to be answered, by the old process as half a line or by the new one as a whole one, and at least one by the new one.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -34,6 +34,23 @@
     return new
 
 
+async def half_calls(node: Node) -> set[bytes]:
+    """Operators that have sent half a line, one each 0.1 s, until the process hands over; then they send the rest. What
+    they are answered. An old process answers half a line after 0.5 s, so however long the new one takes to start, some
+    are handed over half way."""
+    writers, answers = [], []
+    while not any("handed over" in line for line in node.log):
+        reader, writer = await asyncio.open_connection(node.host, node.control)
+        writer.write(b"HEAL")
+        writers.append(writer)
+        answers.append(asyncio.create_task(reader.read()))
+        await asyncio.sleep(0.1)
+    for writer in writers:
+        writer.write(b"TH\n")
+    async with asyncio.timeout(PATIENCE):
+        return set(await asyncio.gather(*answers))
+
+
 async def released(free: asyncio.Event, peer: Peer, status: int = 200) -> None:
     async def handler(request: Request) -> Answer:
         await free.wait()
@@ -53,12 +70,10 @@
         assert (await kept.hand_in("b", "turn", dest=8, X_Session_Key="claim"))[0] == 202
         data = message("c", "turn", dest=8, X_Session_Key="other")
         half.writer.write(data[:70])
-        reader, caller = await asyncio.open_connection(node.host, node.control)
-        caller.write(b"HEAL")
-        await asyncio.sleep(0.1)
+        calling = asyncio.create_task(half_calls(node))
         new = await upgraded(node)
-        caller.write(b"TH\n")
-        assert (await reader.read()).startswith(b"ok")
+        told = await calling
+        assert b"ok serving\n" in told and told <= {b"ok serving\n", b"fail no whole line came\n"}
         half.writer.write(data[70:])
         assert (await half.answer())[0] == 202
         assert (await kept.hand_in("d", "turn", dest=8, X_Session_Key="claim"))[0] == 202
