Wait 0.1 s for an answer that crosses the giving up of its call

A call is given up at its message's time at the latest, and the end is owed 0.3 s after that. The connection is never used again; an upgrade ends it at once. Measured: tests of endings, network, node, faults and upgrades; two of the hand-over failed at first and pass.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -28,6 +28,8 @@
 
 IDLE_MARGIN_US = 700_000  # an idle connection is closed so long before its target would: a reset costs a try
 SWEEP_S = 0.2
+GIVEN_UP_S = 0.1  # an answer that crosses the giving up of its call is waited for so long; a call is given up at its
+# message's time at the latest, and the end is owed 0.3 s after that
 QUIET_S = 0.25  # an answer that has begun and then stands still for so long does not come to its end
 EDGE_US = 40_000  # a delivery heard so shortly before its message's time, or later, may not count: see Pool.over
 MOST_IDLE = 4  # idle connections kept to one target: some take only few, idle ones counted
@@ -147,11 +149,18 @@
             self.transport.abort()
 
     def give_up(self, outcome: Outcome) -> None:
-        """Wait no longer for the answer to a call. Its end is told as the connection is gone, and not before: an answer
-        that crosses the close was written, so the wait that it tells holds."""
-        if self.given_up is None:
-            self.given_up = outcome
-        self.close(f"call given up: {outcome.value}")
+        """Wait no longer for the answer to a call: end the sending, which gives it up, and the connection a little
+        later. Its end is told as the connection is gone, and not before: an answer that crosses the giving up was
+        written, so the wait that it tells holds."""
+        if self.given_up is not None:
+            return
+        self.given_up = outcome
+        call, reason = self.call, f"call given up: {outcome.value}"
+        if call is None or not call.written or self.transport is None or not self.transport.can_write_eof():
+            self.close(reason)
+            return
+        self.transport.write_eof()
+        call.timer = asyncio.get_running_loop().call_later(GIVEN_UP_S, self.close, reason)
 
     def data_received(self, data: bytes) -> None:
         self.seen += data
@@ -186,7 +195,7 @@
         """The answer is whole."""
         self.call, call.connection = None, None
         self.pool.ended(call, self.reader)
-        if self.reader.keep_alive and not self.closing():
+        if self.reader.keep_alive and self.given_up is None and not self.closing():
             self.pool.keep(self, call.target)
         else:
             self.close("not kept alive by the endpoint")
@@ -474,8 +483,10 @@
     # Upgrades
 
     def settle(self) -> None:
-        """End the calls whose connections are closing now, and not in the loop's next turn, which may never come."""
-        for connection in [c for c in self.all if c.closing()]:
+        """End the calls that are given up or whose connections are closing now, and not in the loop's next turn, which
+        may never come."""
+        for connection in [c for c in self.all if c.closing() or c.given_up is not None]:
+            connection.close("given up, and handed over")
             connection.settle()
 
     def hand_over(self) -> tuple[dict[str, Any], list[Connection]]:
