--- a/measure/health.py
+++ b/measure/health.py
@@ -62,8 +62,10 @@
                     case i.Send(message, target):
                         told = self.fate(target, self.now, self.random)
                         took = 1 * MS if told is Outcome.FAILED else 100 * MS
-                        self.later(self.now + took, i.Ended(
-                            message, attempts[message], target, told, took, told is Outcome.DELIVERED))
+                        self.later(
+                            self.now + took,
+                            i.Ended(message, attempts[message], target, told, took, told is Outcome.DELIVERED),
+                        )
                         attempts[message] += 1
                         self.lost += told is not Outcome.DELIVERED
                     case i.SetTimer(delay, token):
@@ -76,8 +78,11 @@
 
 
 def shown(name: str, values: list[float], unit: str, digits: int = 1) -> None:
-    print(f"{name:62} median {statistics.median(values):.{digits}f} {unit}, "
-          f"{min(values):.{digits}f} to {max(values):.{digits}f} ({len(values)})", flush=True)
+    print(
+        f"{name:62} median {statistics.median(values):.{digits}f} {unit}, "
+        f"{min(values):.{digits}f} to {max(values):.{digits}f} ({len(values)})",
+        flush=True,
+    )
 
 
 def always(outcome: Outcome) -> Fate:
@@ -93,16 +98,19 @@
 
 
 FAULTS: dict[str, Fate] = {
-    "500 in 1 ms": always(Outcome.FAILED), "garbled answers": always(Outcome.UNREADABLE),
-    "time-outs": always(Outcome.TIMED_OUT), "half of the calls": half, "every other 2 s": flapping}
+    "500 in 1 ms": always(Outcome.FAILED),
+    "garbled answers": always(Outcome.UNREADABLE),
+    "time-outs": always(Outcome.TIMED_OUT),
+    "half of the calls": half,
+    "every other 2 s": flapping,
+}
 
 
 def detection() -> None:
     """Calls lost until the first ejection, and the time to it, passive alone."""
     for endpoints in (2, 3, 8):
         for name, fate in FAULTS.items():
-            runs = [Run(endpoints, True, seed, fate, 20).play(120, until_ejected=True)
-                    for seed in range(PAIRS)]
+            runs = [Run(endpoints, True, seed, fate, 20).play(120, until_ejected=True) for seed in range(PAIRS)]
             found = [run for run in runs if run.ejected_at >= 0]
             what = f"{name}, one of {endpoints}: "
             if len(found) < len(runs):
@@ -115,13 +123,14 @@
 def quiet() -> None:
     """False ejections of three sound endpoints in an hour at 20 messages a second, by chance failures."""
     for noise in (0.01, 0.05, 0.1):
+
         def fate(target: int, now: int, r: random.Random, noise: float = noise) -> Outcome:
             return Outcome.FAILED if r.random() < noise else Outcome.DELIVERED
+
         count = sum(Run(3, True, seed, fate, 20).play(1200).health.ejections for seed in range(3))
         # The count is Poisson's; these bounds hold its mean with some 95%.
         least, most = max(0.0, (count + 1 - 2 * (count + 1) ** 0.5)), count + 2 + 2 * (count + 1) ** 0.5
-        print(f"noise {noise:4}: {count} false ejections, so {least if count else 0:.0f} to {most:.0f}",
-              flush=True)
+        print(f"noise {noise:4}: {count} false ejections, so {least if count else 0:.0f} to {most:.0f}", flush=True)
 
 
 def worth() -> None:
@@ -134,8 +143,12 @@
                     run = Run(endpoints, on, seed, FAULTS["500 in 1 ms"], rate).play(120)
                     shares[on].append(100 * (run.ends["Fail"] + run.ends["Refuse"]) / run.sent)
             for on, values in shares.items():
-                shown(f"one of {endpoints} fails, {rate} messages a second, {'on' if on else 'off'}", values,
-                      "% not delivered", 2)
+                shown(
+                    f"one of {endpoints} fails, {rate} messages a second, {'on' if on else 'off'}",
+                    values,
+                    "% not delivered",
+                    2,
+                )
 
 
 PARTS: dict[str, Callable[[], None]] = {"detection": detection, "quiet": quiet, "worth": worth}
--- a/measure/members.py
+++ b/measure/members.py
@@ -92,9 +92,12 @@
                     count += len({(at // SECOND, m) for at, _, m in fleet.false})
                     others += len({(at // SECOND, m) for at, _, m in fleet.false if m >= struck})
                     hours += (fleet.now - began) / SECOND / 3600
-                print(f"false failures, {size} members, {name} Lifeguard, {lost:.0%} lost, "
-                      f"{'a tenth stops' if stops else 'none stops'}: {count / hours:.0f} an hour, "
-                      f"{others / hours:.0f} of such as were not stopped", flush=True)
+                print(
+                    f"false failures, {size} members, {name} Lifeguard, {lost:.0%} lost, "
+                    f"{'a tenth stops' if stops else 'none stops'}: {count / hours:.0f} an hour, "
+                    f"{others / hours:.0f} of such as were not stopped",
+                    flush=True,
+                )
         protocol.MOST_AWARE = 8
 
 
@@ -122,8 +125,10 @@
             fleet.run(30 * SECOND)
             fleet.heal()
             heal.append(fleet.until_agreed(120 * SECOND) / SECOND)
-        print(f"split, {size} members: agree {spread(start)} s after a common start, {spread(heal)} s after healing",
-              flush=True)
+        print(
+            f"split, {size} members: agree {spread(start)} s after a common start, {spread(heal)} s after healing",
+            flush=True,
+        )
 
 
 def cost(sizes: list[int], seeds: int) -> None:
@@ -135,8 +140,13 @@
             p, codec = Protocol("n0", ("h0", 1), 1, "i" * 8, Timing(), seed, 0, [("h1", 1)]), Codec("c", [KEY])
             p.board = Board("n0")
             for n in range(1, size):
-                p.view.take(News(f"n{n}", (f"127.0.{n >> 8}.{n & 255}", 3200), LIFE + 1, State.ALIVE, f"{n:08x}",
-                                 version="0.1.0"), Known.MERGED, 0)
+                p.view.take(
+                    News(
+                        f"n{n}", (f"127.0.{n >> 8}.{n & 255}", 3200), LIFE + 1, State.ALIVE, f"{n:08x}", version="0.1.0"
+                    ),
+                    Known.MERGED,
+                    0,
+                )
             for n in range(50):
                 p.board.say(0, Kind.OUTAGE, f"endpoint-{n}")
             memory.append(tracemalloc.get_traced_memory()[0] / 1e6)
@@ -153,6 +163,7 @@
     def heard(name: str, kind: str, seq: int) -> bytes:
         body = Body(kind, name, 1, f"{int(name[1:]):08x}", 0, seq, news=[row(p.view.members[name].news)])
         return others.setdefault(name, Codec("c", [KEY])).seal(body)
+
     while now < 60 * SECOND:
         now = max(now + 1, min(p.next_at(), now + p.timing.period))
         began = time.process_time()
@@ -161,8 +172,9 @@
         spent += time.process_time() - began
         p.out = []
         names = {m.news.where: name for name, m in p.view.members.items()}
-        coming = [heard(names[where], "ack", body.seq) for where, _, body in sent
-                  if body.kind == "ping" and where in names]
+        coming = [
+            heard(names[where], "ack", body.seq) for where, _, body in sent if body.kind == "ping" and where in names
+        ]
         if now >= asked_at:
             asked_at += p.timing.period
             coming.append(heard(f"n{p.random.randrange(1, size)}", "ping", 1))
@@ -180,13 +192,19 @@
     """From SIGKILL to the first process that says `failed` in its log, and to the last; `seeds` deaths."""
     for size in sizes:
         first, last, missing = asyncio.run(_struck(size, seeds))
-        print(f"real, {size} processes, {seeds} deaths: first {spread(first)} s, last {spread(last)}, {missing} never",
-              flush=True)
+        print(
+            f"real, {size} processes, {seeds} deaths: first {spread(first)} s, last {spread(last)}, {missing} never",
+            flush=True,
+        )
 
 
 async def _struck(size: int, deaths: int) -> tuple[list[float], list[float], int]:
-    told = lab_scenario.Scenario("real", fleet=lab_scenario.Fleet(nodes=size, endpoints=6, destinations=3),
-                                 load=lab_scenario.Load(per_node_s=0.5), time=lab_scenario.Time(1.0, 600.0, 1.0))
+    told = lab_scenario.Scenario(
+        "real",
+        fleet=lab_scenario.Fleet(nodes=size, endpoints=6, destinations=3),
+        load=lab_scenario.Load(per_node_s=0.5),
+        time=lab_scenario.Time(1.0, 600.0, 1.0),
+    )
     first, last, missing = [], [], 0
     with tempfile.TemporaryDirectory() as folder:
         (Path(folder) / "nodes").mkdir()
@@ -198,8 +216,11 @@
                 died = datetime.now()
                 await lab.nodes[f"n{size - 1 - n}"].end(hard=True)
                 await asyncio.sleep(10.0)
-                knew = [(at - died).total_seconds() for k in range(size - deaths)
-                        if (at := _said(lab.nodes[f"n{k}"].root / "log", f"n{size - 1 - n}")) is not None]
+                knew = [
+                    (at - died).total_seconds()
+                    for k in range(size - deaths)
+                    if (at := _said(lab.nodes[f"n{k}"].root / "log", f"n{size - 1 - n}")) is not None
+                ]
                 first.append(min(knew))
                 last.append(max(knew))
                 missing += size - deaths - len(knew)
--- a/measure/store.py
+++ b/measure/store.py
@@ -51,8 +51,11 @@
     before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     began = time.perf_counter()
     store = Store(folder, LIMIT)
-    return {"ms": (time.perf_counter() - began) * 1000, "held": len(store.messages),
-            "peak_mb": (resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before) / 1024}
+    return {
+        "ms": (time.perf_counter() - began) * 1000,
+        "held": len(store.messages),
+        "peak_mb": (resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before) / 1024,
+    }
 
 
 def recovery(runs: int) -> None:
@@ -60,11 +63,21 @@
     for size in (30_000, 300_000, 3_000_000, 30_000_000):
         with tempfile.TemporaryDirectory() as folder:
             fill(Path(folder), size)
-            rows = [json.loads(subprocess.run([sys.executable, __file__, "one", folder], check=True,
-                                              capture_output=True).stdout) for _ in range(runs)]
-            print(f"{size / 1e6:6.2f} MB, {rows[0]['held']} held: " + ", ".join(
-                f"{key} {median(r[key] for r in rows):.1f} ({min(r[key] for r in rows):.1f} to "
-                f"{max(r[key] for r in rows):.1f})" for key in ("ms", "peak_mb")), flush=True)
+            rows = [
+                json.loads(
+                    subprocess.run([sys.executable, __file__, "one", folder], check=True, capture_output=True).stdout
+                )
+                for _ in range(runs)
+            ]
+            print(
+                f"{size / 1e6:6.2f} MB, {rows[0]['held']} held: "
+                + ", ".join(
+                    f"{key} {median(r[key] for r in rows):.1f} ({min(r[key] for r in rows):.1f} to "
+                    f"{max(r[key] for r in rows):.1f})"
+                    for key in ("ms", "peak_mb")
+                ),
+                flush=True,
+            )
 
 
 def turnover(runs: int) -> None:
@@ -91,8 +104,13 @@
                 disk.append(most / held)
                 store.close()
         told = {"longest ms": longest, "median us": each, "cpu us a message": cpu, "disk bytes each": disk}
-        print(f"{held} held: " + ", ".join(f"{what} {median(rows):.2f} ({min(rows):.2f} to {max(rows):.2f})"
-                                           for what, rows in told.items()), flush=True)
+        print(
+            f"{held} held: "
+            + ", ".join(
+                f"{what} {median(rows):.2f} ({min(rows):.2f} to {max(rows):.2f})" for what, rows in told.items()
+            ),
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/measure/streaming.py
+++ b/measure/streaming.py
@@ -61,8 +61,14 @@
                 with contextlib.suppress(OSError):
                     while True:
                         conn.sendall(BLOCK)
-            length = next((int(line.split(b":")[1]) for line in head.split(b"\r\n")
-                           if line.lower().startswith(b"content-length")), 0)
+            length = next(
+                (
+                    int(line.split(b":")[1])
+                    for line in head.split(b"\r\n")
+                    if line.lower().startswith(b"content-length")
+                ),
+                0,
+            )
             left = length - len(data)
             data = b""
             buffer = bytearray(256 * 1024)
@@ -85,8 +91,9 @@
     """One transfer. Returns the seconds to the answer's first byte and to its last."""
     begun = time.perf_counter()
     path, length = (f"/{size}", 0) if method == "GET" else ("/0", size)
-    conn.sendall(f"{method} {path} HTTP/1.1\r\nHost: x\r\nX-Addressing: dest=7\r\n"
-                 f"Content-Length: {length}\r\n\r\n".encode())
+    conn.sendall(
+        f"{method} {path} HTTP/1.1\r\nHost: x\r\nX-Addressing: dest=7\r\nContent-Length: {length}\r\n\r\n".encode()
+    )
     while length > 0:
         conn.sendall(BLOCK[:length])
         length -= min(length, len(BLOCK))
@@ -140,8 +147,11 @@
 
 
 def shown(name: str, values: list[float], unit: str, digits: int = 2) -> None:
-    print(f"{name:58} median {statistics.median(values):.{digits}f} {unit}, "
-          f"{min(values):.{digits}f} to {max(values):.{digits}f} ({len(values)})", flush=True)
+    print(
+        f"{name:58} median {statistics.median(values):.{digits}f} {unit}, "
+        f"{min(values):.{digits}f} to {max(values):.{digits}f} ({len(values)})",
+        flush=True,
+    )
 
 
 async def memory() -> None:
@@ -164,8 +174,10 @@
             held = []
             for n in range(12):
                 conn = socket.create_connection(door)
-                conn.sendall(f"POST /slow HTTP/1.1\r\nHost: x\r\nX-Addressing: dest={7 + n}\r\n"
-                             f"Content-Length: {1 << 40}\r\n\r\n".encode())
+                conn.sendall(
+                    f"POST /slow HTTP/1.1\r\nHost: x\r\nX-Addressing: dest={7 + n}\r\n"
+                    f"Content-Length: {1 << 40}\r\n\r\n".encode()
+                )
                 conn.setblocking(False)
                 held.append(conn)
             until = time.monotonic() + 4
@@ -194,8 +206,10 @@
         for method in ("GET", "POST"):
             shares, rates = [], []
             for _ in range(PAIRS):
-                took = {name: (await asyncio.to_thread(transfer, where, method, 512 * MIB))[1]
-                        for name, where in (("through", door), ("straight", straight))}
+                took = {
+                    name: (await asyncio.to_thread(transfer, where, method, 512 * MIB))[1]
+                    for name, where in (("through", door), ("straight", straight))
+                }
                 shares.append(took["straight"] / took["through"])
                 rates.append(512 / took["through"])
             shown(f"throughput of {method} as a share of that straight to the endpoint", shares, "")
@@ -221,8 +235,7 @@
             for n in range(2 * PAIRS):
                 name = "with" if n % 2 else "without"
                 stop.clear()
-                threads = [threading.Thread(target=stream, args=(7 + k,))
-                           for k in range(load if n % 2 else 0)]
+                threads = [threading.Thread(target=stream, args=(7 + k,)) for k in range(load if n % 2 else 0)]
                 for thread in threads:
                     thread.start()
                     time.sleep(0.05)
