--- a/lemonshunt/net/listen.py
+++ b/lemonshunt/net/listen.py
@@ -42,13 +42,15 @@
     family = socket.AF_INET6 if ":" in where.host else socket.AF_INET
     patience = time.monotonic() + patience_s
     while True:
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock = None
         try:
+            sock = socket.socket(family, socket.SOCK_STREAM)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind((where.host.strip("[]"), where.port))
             return sock
-        except OSError:  # the process before may still be going
-            sock.close()
+        except OSError:  # the process before may still be going, or no socket is to be had for a moment
+            if sock is not None:
+                sock.close()
             if time.monotonic() > patience:
                 raise
         await asyncio.sleep(0.05)
