Read what discovery has told before a round sends, after a standstill too

Bytes of discovery and an answer of an endpoint lay in the kernel; the answer's round came before the task that follows the list had its turn. Change: a scheduled round is put off, for 8 turns of the loop at most, while an answer of discovery is unread, half read, or read and not heeded. Ruled out: the pool's last look at the list (it knew no newer one).

--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -11,6 +11,7 @@
 
 from lemonshunt.net.config import Address, HostList, host_list
 from lemonshunt.net.http import MOST_LIST, BadAnswer, ResponseReader, request
+from lemonshunt.net.listen import unread
 from lemonshunt.net.store import Owed
 from lemonshunt.net.supervise import Supervisor
 from lemonshunt.wirehost import Malformed
@@ -73,6 +74,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def behind(self) -> bool:
+        """Whether an answer, or a part of one, has come that whoever asked has not seen yet."""
+        if self.answer is None:
+            return False
+        return self.answer.done() or (self.usable() and bool(unread([self.transport] if self.transport else [])))
+
     def usable(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
@@ -82,7 +89,10 @@
         self.reader.renew()
         self.answer = asyncio.get_running_loop().create_future()
         self.transport.write(data)
-        await self.answer
+        try:
+            await self.answer
+        finally:
+            self.answer = None
         if not self.reader.keep_alive:
             self.close()
         return self.reader
@@ -132,6 +142,10 @@
         self.supervisor = supervisor or Supervisor()
         self.task: asyncio.Task[None] | None = None
 
+    def behind(self) -> bool:
+        """Whether discovery has told something that is not heeded yet."""
+        return self.client.channel.behind()
+
     def subscribe(self) -> None:
         if self.task is None or self.task.done():
             self.task = asyncio.get_running_loop().create_task(self.follow())
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -56,6 +56,7 @@
 REASONS_LOG_S = 1.0  # between two reports of why connections were closed, calls retried, requests refused
 STATE_LOG_S = 5.0  # between two lines that tell how the forwarder stands
 AFTER_FAULT_US = 50_000  # after a fault in a decision the next look comes so soon
+MOST_PUT_OFF = 8  # turns of the loop that a round waits for a list that is being read
 OVERDUE_US = 120_000  # past its time by so much, a message without an end is ended by the engine itself
 SECOND = 1_000_000
 log = logging.getLogger("lemonshunt.engine")
@@ -228,7 +229,7 @@
         self.arriving: dict[str, tuple[Handed, Door]] = {}
         self.events: list[i.Event] = []
         self.scheduled = False
-        self.round_us = 0
+        self.round_us = self.put_off = 0
         self.frozen = self.closed = False
         self.full_us = -FULL_LOG_US
         self.leaving_s, self.lag_s = 0.0, -LAG_LOG_S
@@ -466,9 +467,9 @@
         loop = asyncio.get_running_loop()
         wait = self.round_us + ROUND_US - self.clock()
         if wait <= 0:
-            loop.call_soon(self.round)
+            loop.call_soon(self.scheduled_round)
         else:
-            loop.call_later(wait / SECOND, self.round)
+            loop.call_later(wait / SECOND, self.scheduled_round)
 
     def hand_in(self, handed: Handed, door: Door) -> None:
         """A message came in. At the door only what the module never sees is turned away."""
@@ -553,6 +554,16 @@
             return
         self.rounds += 1
         for name in gone({name: door for name, (_, door) in self.arriving.items()}):
+    def scheduled_round(self) -> None:
+        """A round, but first what discovery has told already: after the process stood still, a drain may lie unread
+        beside the events that would send to the drained endpoint."""
+        if self.watch.behind() and self.put_off < MOST_PUT_OFF:
+            self.put_off += 1
+            asyncio.get_running_loop().call_soon(self.scheduled_round)
+            return
+        self.put_off = 0
+        self.round()
+
             self.withdrawn(name)  # its client cannot hear that it is taken on
         now = self.round_us = self.clock()
         events, self.events = self.events, []
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -10,8 +10,9 @@
 
 import pytest
 
-from tests.sockets import OK, Answer, Client, Node, Platform, Request, always
-from tests.test_node import ids, node_on, play, target
+from lab.shim import Failure
+from tests.sockets import OK, Answer, Client, Node, Platform, Request, always, once
+from tests.test_node import folder_nodes, ids, node_on, play, target
 
 DESCRIPTORS = 256  # as Node configures
 RESTING_CLIENTS = 500  # under the listener's backlog
@@ -88,3 +89,40 @@
         await other.got(1)
         assert ids(other) == ["held"] and len(drained.requests) == calls_before
     play(scene, tmp_path)
+
+
+def test_a_drain_that_lies_unread_after_a_standstill_is_heeded_before_anything_is_sent(tmp_path: Path) -> None:
+    """Found by the soak: an answer and a drain were both in the kernel, and the answer's round sent to the drained."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        free = asyncio.Event()
+        drained = await target(platform, once(free))
+        node = await node_on(folder, platform)
+        await platform.got(2)  # its watch waits
+        for name in ("out", "held"):
+            assert (await node.hand_in(name, "status"))[0] == 202
+        await drained.got(1)
+        node.process.send_signal(signal.SIGSTOP)
+        free.set()
+        await asyncio.sleep(0.2)  # the answer is written
+        other = await target(platform, always(OK), "s2")
+        platform.news[platform.seq + 1] = []
+        await platform.change("s1", "draining")
+        platform.news[platform.seq].append(dict(platform.hosts["s2"]))
+        await asyncio.sleep(0.6)
+        node.process.send_signal(signal.SIGCONT)
+        await other.got(1)
+        assert ids(drained) == ["out"] and ids(other) == ["held"]
+    play(scene, tmp_path)
+
+
+def test_a_start_waits_for_a_socket_that_cannot_be_had_for_a_moment(tmp_path: Path) -> None:
+    """Found by the soak: ENFILE as the listening socket was made ended the start."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        node = Node(folder, platform)
+        folder_nodes[-1].append(node)
+        await node.fail(Failure("socket", "ENFILE"))
+        await node.start(ready=False)
+        await asyncio.sleep(1.5)
+        await node.fail()
+        await node.until_ready()
+    play(scene, tmp_path)
