Guard what starts, ends and hands over, so that one failure costs one step

Measured: tests of upgrades, durability, members, node, operators and network; four of the members failed for a stand-in without a supervisor, which has one now.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -302,7 +302,7 @@
             self.reasons.note(Subject.HELD_BACK, "call: too many connections to endpoints", call.items[0].id)
             self.finish(call, Result(Outcome.HELD_BACK))
             return
-        task = asyncio.get_running_loop().create_task(self.dial(call, self.where[call.target]))
+        task = asyncio.get_running_loop().create_task(self.dial_guarded(call, self.where[call.target]))
         self.dials.add(task)
         task.add_done_callback(self.dials.discard)
 
@@ -315,6 +315,15 @@
         self.idle[target].pop(n).close("too many connections")
         return True
 
+    async def dial_guarded(self, call: Call, where: Address) -> None:
+        """Dial; whatever goes wrong, the call has its end, and its slot is free."""
+        try:
+            await self.dial(call, where)
+        except Exception as error:
+            self.supervisor.failed("dial", error)
+            connection = call.connection
+            self.finish(call, Result(Outcome.RESET if connection is not None else Outcome.HELD_BACK))
+
     async def dial(self, call: Call, where: Address) -> None:
         loop = asyncio.get_running_loop()
         left = min(self.dial_us, call.until_us - self.clock())
--- a/lemonshunt/net/durable.py
+++ b/lemonshunt/net/durable.py
@@ -92,8 +92,12 @@
         if self.unsure:
             self.loop.call_later(AGAIN_S, self._anew)
             return
-        fd = os.dup(self.store.fd)  # a compaction may close the store's own meanwhile
-        threading.Thread(target=self._run, args=(fd, self.written), daemon=True).start()
+        try:
+            fd = os.dup(self.store.fd)  # a compaction may close the store's own meanwhile
+            threading.Thread(target=self._run, args=(fd, self.written), daemon=True).start()
+        except (OSError, RuntimeError) as error:  # no descriptor, or no thread, is to be had just now
+            self._failed(error)
+            self.loop.call_later(AGAIN_S, self._anew)
 
     def _run(self, fd: int, number: int) -> None:
         began, error = time.monotonic(), None
@@ -117,7 +121,7 @@
             self._let_go(number)
         self._begin()
 
-    def _failed(self, error: OSError) -> None:
+    def _failed(self, error: Exception) -> None:
         self.failures += 1
         if not self.broken:
             log.error("journal: cannot be synced: %s; nothing is acknowledged or sent until it is", error)
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -15,7 +15,7 @@
 import resource
 import socket
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import asdict, astuple, replace
 from functools import partial
 from http import HTTPStatus
@@ -25,7 +25,7 @@
 from lemonshunt.choice import Dispatcher
 from lemonshunt.journal import goes_on
 from lemonshunt.net import identity
-from lemonshunt.net.client import Call, Item, Pool
+from lemonshunt.net.client import Call, Item, Pool, Result
 from lemonshunt.net.clock import AnchoredClock
 from lemonshunt.net.config import Address, Config, ConfigError, HostList, host, load
 from lemonshunt.net.control import Calls, Control, Refused, alone
@@ -52,11 +52,12 @@
 TICK_S = 0.1
 SPARE_SOCKETS = 40  # descriptors of two processes that are no connections
 STOP_STEP_S = 0.05
+CONTROL_AGAIN_S = 1.0  # the operators' address is tried again after this
 OLD_CONTROL_S = 10.0  # after an upgrade calls are answered at the old control address too
 REASONS_LOG_S = 1.0  # between two reports of why connections were closed, calls retried, requests refused
 STATE_LOG_S = 5.0  # between two lines that tell how the forwarder stands
-AFTER_FAULT_US = 50_000  # after a fault in a decision the next look comes so soon
 MOST_PUT_OFF = 8  # turns of the loop that a round waits for a list that is being read
+AFTER_FAULT_US = 50_000  # after a fault in a decision the next look comes so soon
 OVERDUE_US = 120_000  # past its time by so much, a message without an end is ended by the engine itself
 SECOND = 1_000_000
 log = logging.getLogger("lemonshunt.engine")
@@ -325,7 +326,7 @@
         for part in self.parts:
             self.calls = {**self.calls, **part.calls}
         self.control.calls = self.calls
-        controlled = asyncio.get_running_loop().create_task(self.serve_control())
+        controlled = self.supervisor.keep("control", self.serve_control)
         self.ownership.listen(self.hand_over)
         log.info("ready")
         self.life.ready(self.clock())
@@ -336,22 +337,27 @@
         controlled.cancel()
         self.frozen = self.closed = True
         for part in self.parts:
-            part.cut()
-        self.server.close()
-        self.control.close()
-        self.ownership.close()
-        self.pool.close()
-        self.store.close()
+            self.supervisor.guard(part.name, part.cut)
+        for name, close in (
+            ("server", self.server.close),
+            ("control", self.control.close),
+            ("ownership", self.ownership.close),
+            ("pool", self.pool.close),
+            ("store", self.store.close),
+        ):
+            self.supervisor.guard(name, close)
 
     async def serve_control(self) -> None:
         """Operators are answered once their address is free; clients do not wait for it."""
         where = self.config.control
         if where is None or where in self.control.listeners:
             return
-        try:
-            self.control.listen(await bind(where))
-        except OSError as error:
-            log.warning("operators cannot call: %s", error)
+        while where not in self.control.listeners:
+            try:
+                self.control.listen(await bind(where))
+            except OSError as error:
+                log.warning("operators cannot call yet: %s", error)
+                await asyncio.sleep(CONTROL_AGAIN_S)
 
     def reload(self) -> None:
         """SIGHUP: read the configuration again. What can change under a running forwarder is where discovery
@@ -366,7 +372,7 @@
             before, discovery=told.discovery, settings=told.settings, report_fields=told.report_fields, told=told.told
         )
         for part in self.parts:
-            part.reload()
+            self.supervisor.guard(part.name, part.reload)
         log.info(
             "the configuration was read again: discovery at %s:%d, classes %s, %d attempts",
             *astuple(told.discovery),
@@ -548,12 +554,6 @@
 
     # Rounds
 
-    def round(self) -> None:
-        self.scheduled = False
-        if self.frozen:
-            return
-        self.rounds += 1
-        for name in gone({name: door for name, (_, door) in self.arriving.items()}):
     def scheduled_round(self) -> None:
         """A round, but first what discovery has told already: after the process stood still, a drain may lie unread
         beside the events that would send to the drained endpoint."""
@@ -564,6 +564,15 @@
         self.put_off = 0
         self.round()
 
+    def round(self) -> None:
+        """Decide on all that has come since the last one. What a failure leaves undone is tried again."""
+        self.scheduled = False
+        if not self.frozen and not self.supervisor.guard("round", self._round):
+            self.schedule()
+
+    def _round(self) -> None:
+        self.rounds += 1
+        for name in gone({name: door for name, (_, door) in self.arriving.items()}):
             self.withdrawn(name)  # its client cannot hear that it is taken on
         now = self.round_us = self.clock()
         events, self.events = self.events, []
@@ -862,9 +871,21 @@
             sock = heritage.socket(numbers[c["connection"]]) if c["connection"] >= 0 else None
             destination, which = c["place"]
             call = Call(c["target"], (destination, which), c["sent_us"], items, batched=c["batched"])
-            await self.pool.adopt(call, sock, base64.b64decode(c["seen"]))
+            try:
+                await self.pool.adopt(call, sock, base64.b64decode(c["seen"]))
+            except OSError as error:  # it was written: its outcome is not known any more
+                self.supervisor.failed("hand-over of a call", error)
+                self.pool.finish(call, Result(i.Outcome.RESET))
         for c in pool["idle"]:
-            await self.pool.adopt_idle(c["target"], heritage.socket(numbers[c["connection"]]), c["idle_us"])
+            sock = heritage.socket(numbers[c["connection"]])
+            await self.adopted("hand-over of a connection", self.pool.adopt_idle(c["target"], sock, c["idle_us"]))
+
+    async def adopted(self, name: str, adopting: Awaitable[None]) -> None:
+        """One connection that cannot be gone on with costs itself alone."""
+        try:
+            await adopting
+        except OSError as error:
+            self.supervisor.failed(name, error)
 
     async def adopt_clients(self, heritage: Heritage) -> None:
         """Go on with the clients and operators of the process before."""
@@ -872,13 +893,15 @@
         if told["leaving"]:
             self.send_away()
         for door in told["doors"]:
-            await self.server.adopt(heritage.socket(door.pop("fd")), door)
+            sock = heritage.socket(door.pop("fd"))
+            await self.adopted("hand-over of a client", self.server.adopt(sock, door))
         for number in told["controls"]:
             listener = self.control.listen(heritage.socket(number))
             if listener.where() != self.config.control:
                 asyncio.get_running_loop().call_later(OLD_CONTROL_S, listener.close)
         for caller in told["callers"]:
-            await self.control.adopt(heritage.socket(caller["fd"]), base64.b64decode(caller["line"]))
+            sock = heritage.socket(caller["fd"])
+            await self.adopted("hand-over of an operator", self.control.adopt(sock, base64.b64decode(caller["line"])))
         heritage.close()
 
     # Stopping
@@ -902,7 +925,7 @@
                 self.syncer.barrier()
             self.frozen = True
             for part in self.parts:
-                part.cut()
+                self.supervisor.guard(part.name, part.cut)
         nothing = not (
             self.store.messages or self.store.owed or self.arriving or any(part.busy() for part in self.parts)
         )
--- a/lemonshunt/net/members.py
+++ b/lemonshunt/net/members.py
@@ -359,6 +359,11 @@
         self.counts[f"socket: {type(error).__name__}"] += 1
 
     def tick(self) -> None:
+        """One step. A failure costs this step, and not the membership."""
+        if not self.engine.supervisor.guard("members", self.step):
+            self.arm()
+
+    def step(self) -> None:
         assert self.protocol is not None
         if self.protocol.me.phase is Phase.RECOVERING and self.engine.life.phase is Start.SERVING:
             self.protocol.tell(self.now(), Phase.SERVING)
--- a/lemonshunt/net/upgrade.py
+++ b/lemonshunt/net/upgrade.py
@@ -174,7 +174,12 @@
                 self.listener = None
             return
         self.listener.setblocking(False)
-        asyncio.get_running_loop().add_reader(self.listener, self.asked, hand_over)
+        self.listen_on(hand_over)
+
+    def listen_on(self, hand_over: Callable[[socket.socket], None]) -> None:
+        """Go on after a failure."""
+        if self.listener is not None:
+            asyncio.get_running_loop().add_reader(self.listener, self.asked, hand_over)
 
     def asked(self, hand_over: Callable[[socket.socket], None]) -> None:
         assert self.listener is not None
@@ -182,6 +187,12 @@
             link, _ = self.listener.accept()
         except BlockingIOError:
             return
+        except OSError as error:  # who takes over asks again
+            log.warning("no process can take over just now: %s", error)
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(self.listener)
+            loop.call_later(RETRY_S, self.listen_on, hand_over)
+            return
         with link:
             link.settimeout(HELLO_S)
             try:
--- a/tests/test_members_socket.py
+++ b/tests/test_members_socket.py
@@ -16,6 +16,7 @@
 from lemonshunt.net import members
 from lemonshunt.net.config import Address
 from lemonshunt.net.members import BURST, MembersPart, Settings
+from lemonshunt.net.supervise import Supervisor
 from lemonshunt.phase import Phase
 
 KEY = b"\0" * 32
@@ -38,7 +39,7 @@
     told = Settings(Address("127.0.0.1", 1), Address("127.0.0.1", 1), "c", (Address("127.0.0.1", 2),), tmp_path / "key",
                     Timing(period=10_000, probe=5_000), False, 1, 1, 1, False, 1, 1)
     engine: Any = SimpleNamespace(config=SimpleNamespace(name="me"), identity=None,
-                                  life=SimpleNamespace(phase=Phase.SERVING))
+                                  life=SimpleNamespace(phase=Phase.SERVING), supervisor=Supervisor())
     part, transport = MembersPart(engine, told), Transport()
 
     async def run() -> None:
