--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -117,7 +117,7 @@
     )
 
 
-class Door(asyncio.BufferedProtocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One client's connection. Requests are answered one at a time, in the order they came. One that another
     process handed over begins with what had been read of a request."""
 
@@ -357,7 +357,7 @@
         return self.transport is None or self.transport.is_closing()
 
 
-def gone(waiting: Mapping[str, Door]) -> list[str]:
+def gone(waiting: Mapping[str, ClientConnection]) -> list[str]:
     """Those of the messages that wait for an answer whose client has ended its side, or the whole connection. The end
     may lie in the kernel unread: after a loop that stood still, a request and its client's end are both there. One
     system call for all."""
@@ -379,26 +379,28 @@
         settings: i.Settings,
         clock: Callable[[], int],
         most: int,
-        hand_in: Callable[[Handed, Door], None],
+        hand_in: Callable[[Handed, ClientConnection], None],
         reasons: Reasons | None = None,
         supervisor: Supervisor | None = None,
     ) -> None:
         self.reasons, self.supervisor = reasons or Reasons(), supervisor or Supervisor()
         self.settings, self.clock, self.most, self.hand_in = settings, clock, most, hand_in
-        self.doors: set[Door] = set()
-        self.closing: set[Door] = set()  # those of them that are closed here, and whose descriptors are not free yet
+        self.doors: set[ClientConnection] = set()
+        self.closing: set[ClientConnection] = (
+            set()
+        )  # those of them that are closed here, and whose descriptors are not free yet
         self.buffer = memoryview(bytearray(MOST_READ))  # for all doors: what is read is copied at once
         self.leaving = self.ended = False
         self.listener: Listener | None = None
 
     def listen(self, sock: socket.socket) -> None:
-        self.listener = Listener(sock, BACKLOG, lambda: Door(self), self.room, self.short)
+        self.listener = Listener(sock, BACKLOG, lambda: ClientConnection(self), self.room, self.short)
         self.supervisor.repeat("sweep of clients", SWEEP_S, self.sweep)
 
     async def adopt(self, sock: socket.socket, told: dict[str, Any]) -> None:
         """Go on with a client's connection of the process before."""
         sock.setblocking(False)
-        await asyncio.get_running_loop().connect_accepted_socket(lambda: Door(self, told), sock)
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: ClientConnection(self, told), sock)
 
     def room(self) -> int:
         """How many connections may be accepted now. All that hold a descriptor count, those that are closing too: what
@@ -406,19 +408,19 @@
         coming = 0 if self.listener is None else len(self.listener.coming)
         return self.most + OVERSHOOT - len(self.doors) - coming
 
-    def joined(self, door: Door) -> None:
+    def joined(self, door: ClientConnection) -> None:
         """Keep the bound: each connection beyond it costs another one, or itself where none can be spared."""
         self.doors.add(door)
         if len(self.doors) - len(self.closing) > self.most:
             (self.spare(door) or door).evict("too many clients")
 
-    def spare(self, new: Door | None = None) -> Door | None:
+    def spare(self, new: ClientConnection | None = None) -> ClientConnection | None:
         """The connection that is given up first: a silent or half-read one that is not quite new; then the one between
         requests that has been idle longest; then the oldest without a request. None that is owed an answer, and none
         with a request that lies unread in the kernel."""
         recent = self.clock() - NEW_US
 
-        def rank(door: Door) -> tuple[int, int]:
+        def rank(door: ClientConnection) -> tuple[int, int]:
             return (1 if door.asked else 0 if door.made_us < recent else 2), door.used_us
 
         free = sorted(
@@ -445,7 +447,7 @@
             door.evict("short of descriptors")
 
     @staticmethod
-    def unread(doors: Iterable[Door]) -> set[Door]:
+    def unread(doors: Iterable[ClientConnection]) -> set[ClientConnection]:
         """Those with bytes, or an end, that wait in the kernel: closed now, a request might be lost."""
         by_number = {fileno(door.transport): door for door in doors if not door.closed()}
         return {by_number[number] for number in unread([d.transport for d in by_number.values() if d.transport])}
@@ -466,7 +468,7 @@
             elif door.idle() and not door.asked and door.made_us < old:
                 door.close("no request came")
 
-    def handle(self, door: Door, request: Request) -> None:
+    def handle(self, door: ClientConnection, request: Request) -> None:
         if request.bad is not None:
             door.answer(request.bad.status, request.bad.text)
         elif request.path.partition("?")[0] == "/up":
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -27,7 +27,7 @@
 from lemonshunt.net.control import Control
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.listen import bind
-from lemonshunt.net.server import MOST_READ, STALLED_US, Door, Handed, Server
+from lemonshunt.net.server import MOST_READ, STALLED_US, ClientConnection, Handed, Server
 from lemonshunt.net.store import Owed
 from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings as settings_of
@@ -129,7 +129,7 @@
     abort = close
 
 
-class Silent(Door):
+class Silent(ClientConnection):
     """A client that is there and of whom no more is wanted."""
 
     def __init__(self, engine: Engine) -> None:
@@ -268,7 +268,7 @@
 MOST_UNREAD = 1 << 20
 
 
-async def flooded(server: Server) -> tuple[socket.socket, Door, asyncio.Task[None]]:
+async def flooded(server: Server) -> tuple[socket.socket, ClientConnection, asyncio.Task[None]]:
     """A client in the middle of sending a flood, and its door, which has stopped to read it."""
     loop = asyncio.get_running_loop()
     server.listen(await bind(Address("127.0.0.1", 0)))
@@ -288,7 +288,7 @@
     return sock, door, sending
 
 
-def refuse(handed: Handed, door: Door) -> None:
+def refuse(handed: Handed, door: ClientConnection) -> None:
     raise AssertionError("nothing of a flood is a message")
 
 
@@ -324,7 +324,7 @@
                 clients[-1].send(FLOOD[:1 << 20] if n < floods else b"GET /up HTTP/1.1\r\n\r\n")
                 doors.append(listener.accept()[0])
                 doors[-1].setblocking(False)
-        await asyncio.gather(*(loop.connect_accepted_socket(lambda: Door(server), sock) for sock in doors))
+        await asyncio.gather(*(loop.connect_accepted_socket(lambda: ClientConnection(server), sock) for sock in doors))
         while "/up" not in handled:
             await asyncio.sleep(0)
         assert handled.index("/up") <= 2 * floods * (MOST_READ // ONE_OF_FLOOD + 1)
@@ -653,7 +653,7 @@
     async def scene(platform: Platform) -> None:
         handed: list[str] = []
 
-        def hand_in(got: Handed, door: Door) -> None:
+        def hand_in(got: Handed, door: ClientConnection) -> None:
             handed.append(got.id)
             door.answer(HTTPStatus.ACCEPTED)
         server = Server(settings_of(SETTINGS), Skewed(), 1, hand_in)
@@ -672,7 +672,7 @@
         elif ending == "exit":
             server.close()
         else:
-            server.joined(Door(server))
+            server.joined(ClientConnection(server))
         if sent == "after the close":
             sock.send(message("crossing"))
         answered = sent == "before the close" and ending != "exit"
@@ -847,11 +847,11 @@
 def test_a_clients_connection_owes_each_whole_request_one_answer(steps: list[str]) -> None:
     """In their order, as long as it may: nothing that comes after the close, after junk or after the client's end is
     handed on, and nobody is answered twice."""
-    handed: list[tuple[str, Door]] = []
+    handed: list[tuple[str, ClientConnection]] = []
 
     async def run() -> None:
         server = Server(settings_of(SETTINGS), Skewed(), 10, lambda got, door: handed.append((got.id, door)))
-        paper, door = Paper(), Door(server)
+        paper, door = Paper(), ClientConnection(server)
         door.connection_made(paper)
         asked = answered = number = 0
         half, open_ = False, True
--- a/tests/test_freed.py
+++ b/tests/test_freed.py
@@ -16,7 +16,7 @@
 from lemonshunt.net.discovery import Channel, Client
 from lemonshunt.net.http import ResponseReader
 from lemonshunt.net.listen import bind
-from lemonshunt.net.server import Door, Server
+from lemonshunt.net.server import ClientConnection, Server
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Request, always, message
 from tests.test_net import call, pool
@@ -39,7 +39,7 @@
 def made(monkeypatch: pytest.MonkeyPatch) -> list[weakref.ref[Any]]:
     """Each door, and the reader of each connection to targets and discovery, as it is made."""
     refs: list[weakref.ref[Any]] = []
-    for cls in (Door, ResponseReader):
+    for cls in (ClientConnection, ResponseReader):
         def first(self: Any, *args: Any, begin: Callable[..., None] = cls.__init__) -> None:
             begin(self, *args)
             refs.append(weakref.ref(self))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,7 +18,7 @@
 from lemonshunt.net.control import Control
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.listen import bind
-from lemonshunt.net.server import Door, Handed, Server
+from lemonshunt.net.server import ClientConnection, Handed, Server
 from lemonshunt.net.store import MOST_ENDED, Store, Taken
 from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings
@@ -401,7 +401,7 @@
         came: asyncio.Queue[Handed] = asyncio.Queue()
         gone = asyncio.Event()
 
-        def hand_in(handed: Handed, door: Door) -> None:
+        def hand_in(handed: Handed, door: ClientConnection) -> None:
             door.left = gone.set
             came.put_nowait(handed)
         server = Server(settings(SETTINGS), Clock(), 10, hand_in)
@@ -431,7 +431,7 @@
         config = load({"LB_CONFIG": str(tmp_path / "config.json"), "LB_STATE": str(tmp_path)})
         engine = Engine(config, Ownership(tmp_path), Control(), await bind(Address("127.0.0.1", 0)))
         engine.store.own()
-        door = Door(engine.server)
+        door = ClientConnection(engine.server)
         with socket.create_server(("127.0.0.1", 0)) as listener:
             client = socket.create_connection(listener.getsockname())
             accepted = listener.accept()[0]
