--- a/lemonshunt/net/effects.py
+++ b/lemonshunt/net/effects.py
@@ -22,7 +22,7 @@
 from lemonshunt.net.client import Call, Item, Pool, Result, fits
 from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.rules import Denial, Rules
-from lemonshunt.net.server import ClientConnection, Handed
+from lemonshunt.net.server import ClientConnection, Submission
 from lemonshunt.net.store import Store, Taken
 from lemonshunt.net.supervise import Supervisor
 from lemonshunt.net.targets import TargetTable
@@ -31,7 +31,7 @@
 MOST_REFUSED_BY = 1000  # destinations, classes and gates of refusals that are counted apart
 log = logging.getLogger("lemonshunt.effects")
 
-Arriving = dict[str, tuple[Handed, ClientConnection]]
+Arriving = dict[str, tuple[Submission, ClientConnection]]
 """Messages that were handed in since the last round, by their id."""
 Step = i.CloseIdle | i.Cancel | Call
 
@@ -59,8 +59,8 @@
         reasons: Reasons,
         supervisor: Supervisor,
         post: Callable[[i.Event], None],
-        turn_away: Callable[[Handed, ClientConnection, i.Refuse | i.Fail], None],
-        refuse: Callable[[Handed, ClientConnection, str], None],
+        turn_away: Callable[[Submission, ClientConnection, i.Refuse | i.Fail], None],
+        refuse: Callable[[Submission, ClientConnection, str], None],
     ) -> None:
         self.store, self.pool, self.targets, self.rules = store, pool, targets, rules
         self.reasons, self.supervisor, self.post = reasons, supervisor, post
@@ -169,7 +169,7 @@
             if not self.supervisor.guard("call", partial(self._release, step)) and isinstance(step, Call):
                 self.supervisor.guard("call", partial(self.pool.finish, step, Result(i.Outcome.HELD_BACK)))
 
-    def _accept(self, name: str, handed: Handed, door: ClientConnection) -> None:
+    def _accept(self, name: str, handed: Submission, door: ClientConnection) -> None:
         if self.rules.may_accept(name, written=True) is None:
             door.answer(HTTPStatus.ACCEPTED)
 
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -35,7 +35,7 @@
 from lemonshunt.net.listen import bind, fileno
 from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.rules import Rules
-from lemonshunt.net.server import OVERSHOOT, ClientConnection, Handed, Server, gone
+from lemonshunt.net.server import OVERSHOOT, ClientConnection, Server, Submission, gone
 from lemonshunt.net.store import Owed, Store
 from lemonshunt.net.supervise import Supervisor
 from lemonshunt.net.targets import TargetTable
@@ -227,7 +227,7 @@
             "JOURNAL": alone(self.tell_journal),
             "RULES": alone(self.tell_rules),
         }
-        self.arriving: dict[str, tuple[Handed, ClientConnection]] = {}
+        self.arriving: dict[str, tuple[Submission, ClientConnection]] = {}
         self.events: list[i.Event] = []
         self.scheduled = False
         self.round_us = self.put_off = 0
@@ -477,7 +477,7 @@
         else:
             loop.call_later(wait / SECOND, self.scheduled_round)
 
-    def hand_in(self, handed: Handed, door: ClientConnection) -> None:
+    def hand_in(self, handed: Submission, door: ClientConnection) -> None:
         """A message came in. At the door only what the module never sees is turned away."""
         if self.store.knows(handed.id):
             door.answer(HTTPStatus.ACCEPTED)  # it is ours already, or has had its end
@@ -504,7 +504,7 @@
             )
         )
 
-    def turn_off(self, handed: Handed, door: ClientConnection, reason: str) -> None:
+    def turn_off(self, handed: Submission, door: ClientConnection, reason: str) -> None:
         """Answer 503: it was not taken on, and may be handed in again, here or elsewhere."""
         self.reasons.note(Subject.REFUSAL, reason, handed.id)
         door.answer(HTTPStatus.SERVICE_UNAVAILABLE, reason, Retry_After=away())
@@ -623,7 +623,7 @@
         if self.store.owed:
             self.notices.kick()
 
-    def turn_away(self, handed: Handed, door: ClientConnection, a: i.Refuse | i.Fail) -> None:
+    def turn_away(self, handed: Submission, door: ClientConnection, a: i.Refuse | i.Fail) -> None:
         """Given up in the round in which it came: the client hears so, and it was never taken on."""
         why = a.why.value if isinstance(a, i.Refuse) and a.why else "at once"
         self.reasons.note(Subject.REFUSAL, why, handed.id)
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -54,7 +54,7 @@
 
 
 @dataclass(slots=True)
-class Handed:
+class Submission:
     """A message as a client handed it in, well-formed but not yet taken on."""
 
     id: str
@@ -74,7 +74,7 @@
     return len(text) <= most and text.isascii() and text.isprintable()
 
 
-def message(request: Request, settings: i.Settings) -> Handed:
+def message(request: Request, settings: i.Settings) -> Submission:
     """Read a message from a request, or say what is wrong with it."""
     name, bad = request.path.partition("?")[0].strip("/"), HTTPStatus.BAD_REQUEST
     cls = next((c for c in settings.classes if c.name == name.partition("/")[0]), None)
@@ -104,7 +104,7 @@
     tenant = h.get("x-account")
     if settings.tenants and tenant not in {t.name for t in settings.tenants}:
         raise BadRequest(bad, "X-Account is missing or unknown")
-    return Handed(
+    return Submission(
         ident,
         cls,
         dest,
@@ -379,7 +379,7 @@
         settings: i.Settings,
         clock: Callable[[], int],
         most: int,
-        hand_in: Callable[[Handed, ClientConnection], None],
+        hand_in: Callable[[Submission, ClientConnection], None],
         reasons: Reasons | None = None,
         supervisor: Supervisor | None = None,
     ) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -27,7 +27,7 @@
 from lemonshunt.net.control import Control
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.listen import bind
-from lemonshunt.net.server import MOST_READ, STALLED_US, ClientConnection, Handed, Server
+from lemonshunt.net.server import MOST_READ, STALLED_US, ClientConnection, Server, Submission
 from lemonshunt.net.store import Owed
 from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings as settings_of
@@ -79,7 +79,7 @@
         """Hand a message in, on a connection of its own that nobody reads."""
         classes = {c.name: c for c in self.engine.config.settings.classes}
         due = self.clock() + DUE_US if due_us is None else due_us
-        self.engine.hand_in(Handed(name, classes[cls], 7, due, key, "acme", False, b"x"), Silent(self.engine))
+        self.engine.hand_in(Submission(name, classes[cls], 7, due, key, "acme", False, b"x"), Silent(self.engine))
 
     def end(self) -> None:
         self.engine.frozen = self.engine.closed = True
@@ -288,7 +288,7 @@
     return sock, door, sending
 
 
-def refuse(handed: Handed, door: ClientConnection) -> None:
+def refuse(handed: Submission, door: ClientConnection) -> None:
     raise AssertionError("nothing of a flood is a message")
 
 
@@ -653,7 +653,7 @@
     async def scene(platform: Platform) -> None:
         handed: list[str] = []
 
-        def hand_in(got: Handed, door: ClientConnection) -> None:
+        def hand_in(got: Submission, door: ClientConnection) -> None:
             handed.append(got.id)
             door.answer(HTTPStatus.ACCEPTED)
         server = Server(settings_of(SETTINGS), Skewed(), 1, hand_in)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,7 +18,7 @@
 from lemonshunt.net.control import Control
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.listen import bind
-from lemonshunt.net.server import ClientConnection, Handed, Server
+from lemonshunt.net.server import ClientConnection, Server, Submission
 from lemonshunt.net.store import MOST_ENDED, Store, Taken
 from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings
@@ -398,10 +398,10 @@
 
 def test_client_gone_before_its_answer_withdraws_the_message() -> None:
     async def scene() -> None:
-        came: asyncio.Queue[Handed] = asyncio.Queue()
+        came: asyncio.Queue[Submission] = asyncio.Queue()
         gone = asyncio.Event()
 
-        def hand_in(handed: Handed, door: ClientConnection) -> None:
+        def hand_in(handed: Submission, door: ClientConnection) -> None:
             door.left = gone.set
             came.put_nowait(handed)
         server = Server(settings(SETTINGS), Clock(), 10, hand_in)
@@ -438,7 +438,7 @@
         accepted.setblocking(False)
         await asyncio.get_running_loop().connect_accepted_socket(lambda: door, accepted)
         due = engine.clock() + 10**7
-        engine.hand_in(Handed("m", ORDER, 7, due, "k", "acme", False, b"x"), door)
+        engine.hand_in(Submission("m", ORDER, 7, due, "k", "acme", False, b"x"), door)
         if gone == "closed here":
             door.close()
         elif "more" in gone:
