--- a/lemonshunt/net/effects.py
+++ b/lemonshunt/net/effects.py
@@ -23,7 +23,7 @@
 from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.rules import Denial, Rules
 from lemonshunt.net.server import ClientConnection, Submission
-from lemonshunt.net.store import Store, Taken
+from lemonshunt.net.store import AcceptedMessage, Store
 from lemonshunt.net.supervise import Supervisor
 from lemonshunt.net.targets import TargetTable
 
@@ -79,7 +79,7 @@
                 self.supervisor.guard("refusal", partial(self.turn_away, *arriving.pop(action.message), action))
         for handed, _ in arriving.values():
             self.store.take(
-                Taken(
+                AcceptedMessage(
                     handed.id,
                     handed.cls,
                     handed.destination,
--- a/lemonshunt/net/rules.py
+++ b/lemonshunt/net/rules.py
@@ -14,7 +14,7 @@
 
 from lemonshunt.interface import Effect
 from lemonshunt.net.reasons import Reasons, Subject
-from lemonshunt.net.store import Store, Taken
+from lemonshunt.net.store import AcceptedMessage, Store
 
 
 class Denial(enum.Enum):
@@ -93,7 +93,7 @@
         return None
 
     @staticmethod
-    def _may_have_run(message: Taken, number: int) -> bool:
+    def _may_have_run(message: AcceptedMessage, number: int) -> bool:
         """Whether an attempt other than this one has run, as far as anyone knows."""
         return message.ran_at_us >= 0 or any(other != number for other in message.out)
 
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -44,7 +44,7 @@
 
 
 @dataclass(slots=True)
-class Taken:
+class AcceptedMessage:
     """A message that was taken on, with all that is needed to go on with it."""
 
     id: str
@@ -85,7 +85,7 @@
         where it cannot be read, and NewerFormat."""
         self.classes = classes or {}  # for journals that tell a class by its name only
         self.files = Files(folder, most_bytes - MOST_FILES * BLOCK)
-        self.messages: dict[str, Taken] = {}
+        self.messages: dict[str, AcceptedMessage] = {}
         self.ended: dict[str, None] = {}  # the oldest first
         self.owed: dict[str, Owed] = {}
         self.outages: dict[str, tuple[int, int]] = {}
@@ -206,7 +206,7 @@
 
     def _taken(self, rest: list[Any], body: bytes) -> None:
         name, cls, destination, due, key, tenant, attempts, ran_at, ran_on, out, *more = rest
-        m = Taken(
+        m = AcceptedMessage(
             name,
             self._class(cls),
             destination,
@@ -245,7 +245,7 @@
             self._settle(self.messages[name], number, ran)
 
     @staticmethod
-    def _settle(m: Taken, number: int, ran: bool) -> None:
+    def _settle(m: AcceptedMessage, number: int, ran: bool) -> None:
         sent = m.out.pop(number, None)
         if ran and sent is not None and (m.ran_at_us < 0 or sent[0] < m.ran_at_us):
             m.ran_at_us, m.ran_on = sent
@@ -304,17 +304,17 @@
 
     # Writing
 
-    def take(self, m: Taken) -> None:
+    def take(self, m: AcceptedMessage) -> None:
         self.messages[m.id] = m
         self.live += m.size
         self.pending.append(self._record(self._line(m), m.body))
 
-    def attempt(self, m: Taken, number: int, at_us: int, host: str) -> None:
+    def attempt(self, m: AcceptedMessage, number: int, at_us: int, host: str) -> None:
         m.out[number] = (at_us, host)
         m.attempts = max(m.attempts, number + 1)
         self.append("attempt", m.id, number, at_us, host)
 
-    def outcome(self, m: Taken, number: int, ran: bool) -> None:
+    def outcome(self, m: AcceptedMessage, number: int, ran: bool) -> None:
         self._settle(m, number, ran)
         self.append("outcome", m.id, number, ran)
 
@@ -374,7 +374,7 @@
         return journal.record(self.salt, self.number, line, body)
 
     @staticmethod
-    def _line(m: Taken) -> Line:
+    def _line(m: AcceptedMessage) -> Line:
         out = [[n, at, host] for n, (at, host) in m.out.items()]
         c = m.cls
         cls = [
--- a/measure/start.py
+++ b/measure/start.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 
 from lemonshunt.interface import MessageClass
-from lemonshunt.net.store import Store, Taken
+from lemonshunt.net.store import AcceptedMessage, Store
 from tests.sockets import ROOT, Node, Platform
 
 SAFE = MessageClass("status", 10**6, 3_600_000_000)
@@ -31,7 +31,7 @@
     for n in range(3 * held):
         name = f"m{n}"
         if store.has_room(400):
-            store.take(Taken(name, SAFE, 7, due, None, None, b"x" * 300))
+            store.take(AcceptedMessage(name, SAFE, 7, due, None, None, b"x" * 300))
             store.attempt(store.messages[name], 0, 50, "s9")
             store.outcome(store.messages[name], 0, False)
         if n % 3 and name in store.messages:
--- a/measure/store.py
+++ b/measure/store.py
@@ -19,15 +19,15 @@
 from statistics import median
 
 from lemonshunt.interface import MessageClass
-from lemonshunt.net.store import Store, Taken
+from lemonshunt.net.store import AcceptedMessage, Store
 
 SAFE = MessageClass("safe", 10**6, 10**7)
 LIMIT = 200_000_000
 BODY = b"x" * 400
 
 
-def taken(n: int) -> Taken:
-    return Taken(f"message-{n:08d}", SAFE, n % 20, 10**15, None, None, BODY)
+def taken(n: int) -> AcceptedMessage:
+    return AcceptedMessage(f"message-{n:08d}", SAFE, n % 20, 10**15, None, None, BODY)
 
 
 def fill(folder: Path, size: int) -> int:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -23,7 +23,7 @@
 from lemonshunt.net import identity
 from lemonshunt.net import store as module
 from lemonshunt.net.files import Files
-from lemonshunt.net.store import Store, Taken
+from lemonshunt.net.store import AcceptedMessage, Store
 from lemonshunt.statecheck import main as state
 from tests.sockets import OK, Node, Peer, Platform, always, hang
 
@@ -39,8 +39,8 @@
     logging.disable(logging.NOTSET)
 
 
-def taken(name: str, cls: MessageClass = ONCE, body: bytes = b"body\n\0") -> Taken:
-    return Taken(name, cls, 7, 10**15, f"k-{name}" if cls is ONCE else None, None, body * 3)
+def taken(name: str, cls: MessageClass = ONCE, body: bytes = b"body\n\0") -> AcceptedMessage:
+    return AcceptedMessage(name, cls, 7, 10**15, f"k-{name}" if cls is ONCE else None, None, body * 3)
 
 
 def filled(folder: Path) -> Store:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,7 +19,7 @@
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.listen import bind
 from lemonshunt.net.server import ClientConnection, Server, Submission
-from lemonshunt.net.store import MOST_ENDED, Store, Taken
+from lemonshunt.net.store import MOST_ENDED, AcceptedMessage, Store
 from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Request, Skewed, always, hang, message
@@ -27,8 +27,8 @@
 ORDER = settings(SETTINGS).classes[0]
 
 
-def taken(name: str, size: int = 100) -> Taken:
-    return Taken(name, ORDER, 7, 10**15, f"k-{name}", "acme", b"\n\0" * (size // 2))
+def taken(name: str, size: int = 100) -> AcceptedMessage:
+    return AcceptedMessage(name, ORDER, 7, 10**15, f"k-{name}", "acme", b"\n\0" * (size // 2))
 
 
 def test_store_gives_back_what_it_was_told_also_after_compacting(tmp_path: Path) -> None:
@@ -283,7 +283,7 @@
 
 
 def test_an_answer_without_a_length_ends_with_its_connection() -> None:
-    """Taken for broken, a batch that was delivered in whole was taken for one that may have run."""
+    """AcceptedMessage for broken, a batch that was delivered in whole was taken for one that may have run."""
     async def scene() -> None:
         ends: list[i.Ended] = []
 
