--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -12,7 +12,7 @@
 from lemonshunt.net.config import Address, HostList, host_list
 from lemonshunt.net.http import MOST_LIST, BadAnswer, ResponseReader, request
 from lemonshunt.net.listen import unread
-from lemonshunt.net.store import Owed
+from lemonshunt.net.store import PendingNotice
 from lemonshunt.net.supervise import Supervisor
 from lemonshunt.wirehost import Malformed
 
@@ -188,7 +188,7 @@
 class Platform(Protocol):
     """Where owed ends are kept until they are acknowledged."""
 
-    def owed_ends(self) -> Mapping[str, Owed]: ...
+    def owed_ends(self) -> Mapping[str, PendingNotice]: ...
 
     def acknowledged(self, names: list[str]) -> None: ...
 
@@ -233,7 +233,7 @@
                 self.book.acknowledged([name for name, _ in owed])
 
 
-def line(name: str, owed: Owed) -> bytes:
+def line(name: str, owed: PendingNotice) -> bytes:
     told: dict[str, str | int] = {"id": name, "state": owed.state}
     if owed.after_ms > 0:
         told["after_ms"] = owed.after_ms
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -36,7 +36,7 @@
 from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.rules import Rules
 from lemonshunt.net.server import OVERSHOOT, ClientConnection, Server, Submission, gone
-from lemonshunt.net.store import Owed, Store
+from lemonshunt.net.store import PendingNotice, Store
 from lemonshunt.net.supervise import Supervisor
 from lemonshunt.net.targets import TargetTable
 from lemonshunt.net.upgrade import Heritage, Ownership, memory
@@ -662,7 +662,7 @@
 
     # Notices
 
-    def owed_ends(self) -> dict[str, Owed]:
+    def owed_ends(self) -> dict[str, PendingNotice]:
         """Those that may be told now."""
         now = self.clock()
         return {name: owed for name, owed in self.store.owed.items() if self.rules.may_notify(name, now) is None}
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -67,7 +67,7 @@
         return len(self.body) + len(self.id) + len(self.idempotency_key or "") + PER_MESSAGE
 
 
-class Owed(NamedTuple):
+class PendingNotice(NamedTuple):
     """An end that the platform has not acknowledged; until it has, the key's next message must wait."""
 
     state: str
@@ -87,7 +87,7 @@
         self.files = Files(folder, most_bytes - MOST_FILES * BLOCK)
         self.messages: dict[str, AcceptedMessage] = {}
         self.ended: dict[str, None] = {}  # the oldest first
-        self.owed: dict[str, Owed] = {}
+        self.owed: dict[str, PendingNotice] = {}
         self.outages: dict[str, tuple[int, int]] = {}
         self.hosts: dict[str, dict[str, Any]] = {}
         self.names: dict[str, None] = {}  # all that were ever listed, those named longest ago first
@@ -270,7 +270,7 @@
     def _owed(self, rest: list[Any], body: bytes = b"") -> None:
         self._over(rest)
         name, state, after_ms, key = rest
-        self.owed[name] = Owed(state, after_ms, key)
+        self.owed[name] = PendingNotice(state, after_ms, key)
 
     def _told(self, rest: list[Any], body: bytes = b"") -> None:
         self.owed.pop(rest[0], None)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -28,7 +28,7 @@
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.listen import bind
 from lemonshunt.net.server import MOST_READ, STALLED_US, ClientConnection, Server, Submission
-from lemonshunt.net.store import Owed
+from lemonshunt.net.store import PendingNotice
 from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings as settings_of
 from tests import test_node as real
@@ -439,8 +439,8 @@
         told: list[str] = []
 
         class Book:
-            def owed_ends(self) -> dict[str, Owed]:
-                return {} if told else {"m": Owed("failed", 0, None)}
+            def owed_ends(self) -> dict[str, PendingNotice]:
+                return {} if told else {"m": PendingNotice("failed", 0, None)}
 
             def acknowledged(self, names: list[str]) -> None:
                 told.extend(names)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -14,7 +14,7 @@
 from lemonshunt.net.clock import Anchor, base_ns
 from lemonshunt.net.config import Address
 from lemonshunt.net.discovery import Notices
-from lemonshunt.net.store import Owed
+from lemonshunt.net.store import PendingNotice
 from lemonshunt.net.supervise import Supervisor
 from tests.sockets import OK, PATIENCE, Answer, Node, Platform, always
 from tests.test_node import folder_nodes, ids, play, target
@@ -206,9 +206,9 @@
     """One end that is owed."""
 
     def __init__(self) -> None:
-        self.owed = {"m": Owed("failed", 0, None)}
+        self.owed = {"m": PendingNotice("failed", 0, None)}
 
-    def owed_ends(self) -> dict[str, Owed]:
+    def owed_ends(self) -> dict[str, PendingNotice]:
         return self.owed
 
     def acknowledged(self, names: list[str]) -> None:
