Call what a process hands over its HandoverState

Change: Heritage becomes HandoverState, heritage handover. No behaviour, no wire form, no record is changed.

--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -17,7 +17,7 @@
 from lemonshunt.net.engine import Engine, Maker
 from lemonshunt.net.identity import Stranger
 from lemonshunt.net.listen import bind
-from lemonshunt.net.upgrade import Heritage, Ownership
+from lemonshunt.net.upgrade import HandoverState, Ownership
 
 READ_PATIENCE_S = 20.0  # a start has to be ready within 30 s
 READ_AGAIN_S = 0.2
@@ -48,15 +48,15 @@
         except OSError as error:  # the process before may have it, and hand it over
             log.info("control address not free yet: %s", error)
 
-    async def make(heritage: Heritage | None) -> Engine:
-        if heritage is None:
+    async def make(handover: HandoverState | None) -> Engine:
+        if handover is None:
             # The address before the journal: where another forwarder serves, nothing may be sent.
             clients = await bind(config.listen)
             return await patiently(lambda: Engine(config, ownership, control, clients, parts=parts))
-        clients = heritage.socket(heritage.told["clients"])
+        clients = handover.socket(handover.told["clients"])
         if clients.getsockname()[:2] != astuple(config.listen):
             clients = await bind(config.listen)
-        return Engine(config, ownership, control, clients, heritage, parts)
+        return Engine(config, ownership, control, clients, handover, parts)
 
     engine = await ownership.obtain(make)
     loop.add_signal_handler(signal.SIGTERM, engine.stop)
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -39,7 +39,7 @@
 from lemonshunt.net.store import PendingNotice, Store
 from lemonshunt.net.supervise import Supervisor
 from lemonshunt.net.targets import TargetTable
-from lemonshunt.net.upgrade import Heritage, Ownership, memory
+from lemonshunt.net.upgrade import HandoverState, Ownership, memory
 from lemonshunt.phase import Life, Phase
 
 ROUND_US = 5_000  # least time between rounds: what goes to one target in one round travels together
@@ -167,13 +167,13 @@
         ownership: Ownership,
         control: Control,
         clients: socket.socket,
-        heritage: Heritage | None = None,
+        handover: HandoverState | None = None,
         parts: Sequence[Maker] = (),
     ) -> None:
         """Reads the journal and writes nothing: until it runs, another process may own all of it. Raises OSError,
         and NewerFormat or Stranger where the folder is not for this program or this forwarder."""
-        self.config, self.ownership, self.clients, self.heritage = config, ownership, clients, heritage
-        told = heritage.told if heritage is not None else {}
+        self.config, self.ownership, self.clients, self.handover = config, ownership, clients, handover
+        told = handover.told if handover is not None else {}
         self.clock = AnchoredClock(config.state, told.get("clock"))
         s = on_sockets(config.settings)
         self.identity, self.start = identity.claim(config.state, config.name)
@@ -240,7 +240,7 @@
         self.done = asyncio.Event()
         self.syncer: Syncer | None = None  # set by a part: what a record precedes waits until that is synced
         self.parts = [make(self) for make in parts]
-        self.watch = Watch(config.discovery, self.recover(), self.listed, heritage is not None, self.supervisor)
+        self.watch = Watch(config.discovery, self.recover(), self.listed, handover is not None, self.supervisor)
         self.life = Life(self.clock(), self.store.messages)
 
     # Starting
@@ -248,7 +248,7 @@
     def recover(self) -> int:
         """Tell the module what the journal holds. Returns the newest version of the list, -1 for none."""
         known, kept = self.config.known, self.store
-        told = self.heritage.told if self.heritage is not None else {"pool": {"calls": []}}
+        told = self.handover.told if self.handover is not None else {"pool": {"calls": []}}
         out = {(name, number) for call in told["pool"]["calls"] for name, number, _ in call["items"]}
         if kept.seq >= known.seq:  # `known` may be older than what this forwarder was told of drains
             known = HostList(kept.seq, True, tuple(host(raw) for raw in kept.hosts.values()))
@@ -256,7 +256,7 @@
         self.take_list(known)
         self.events += [i.Banned(self.number(name), since) for name, since in kept.bans.items()]
         self.events.append(i.Listed(i.ListKind.SAVED, self.targets.entries(known.hosts, self.store.bans)))
-        if self.heritage is None:
+        if self.handover is None:
             self.events.append(i.ListAwaited(self.clock() + FIRST_LIST_US))
         for name, (since, back) in kept.outages.items():
             if name in self.targets.numbers:
@@ -314,12 +314,12 @@
             self.server.most,
             self.pool.most,
         )
-        if self.heritage is not None:
-            await self.adopt_calls(self.heritage)
+        if self.handover is not None:
+            await self.adopt_calls(self.handover)
         self.round()
         self.notices.kick()
-        if self.heritage is not None:
-            await self.adopt_clients(self.heritage)
+        if self.handover is not None:
+            await self.adopt_clients(self.handover)
         self.server.listen(self.clients)
         for part in self.parts:
             await part.open()
@@ -856,9 +856,9 @@
         )
         os._exit(0)  # not one callback more: it would read what is meant for the other process
 
-    async def adopt_calls(self, heritage: Heritage) -> None:
+    async def adopt_calls(self, handover: HandoverState) -> None:
         """Go on with the calls and connections to targets of the process before."""
-        pool, numbers = heritage.told["pool"], heritage.told["connections"]
+        pool, numbers = handover.told["pool"], handover.told["connections"]
         self.pool.waits = {(destination, which): end for destination, which, end in pool["waits"]}
         for c in pool["calls"]:
             items = [
@@ -868,7 +868,7 @@
             ]
             if not items:
                 continue  # its connection is closed with all that is not taken out
-            sock = heritage.socket(numbers[c["connection"]]) if c["connection"] >= 0 else None
+            sock = handover.socket(numbers[c["connection"]]) if c["connection"] >= 0 else None
             destination, which = c["place"]
             call = Call(c["target"], (destination, which), c["sent_us"], items, batched=c["batched"])
             try:
@@ -877,7 +877,7 @@
                 self.supervisor.failed("hand-over of a call", error)
                 self.pool.finish(call, Result(i.Outcome.RESET))
         for c in pool["idle"]:
-            sock = heritage.socket(numbers[c["connection"]])
+            sock = handover.socket(numbers[c["connection"]])
             await self.adopted("hand-over of a connection", self.pool.adopt_idle(c["target"], sock, c["idle_us"]))
 
     async def adopted(self, name: str, adopting: Awaitable[None]) -> None:
@@ -887,22 +887,22 @@
         except OSError as error:
             self.supervisor.failed(name, error)
 
-    async def adopt_clients(self, heritage: Heritage) -> None:
+    async def adopt_clients(self, handover: HandoverState) -> None:
         """Go on with the clients and operators of the process before."""
-        told = heritage.told
+        told = handover.told
         if told["leaving"]:
             self.send_away()
         for door in told["doors"]:
-            sock = heritage.socket(door.pop("fd"))
+            sock = handover.socket(door.pop("fd"))
             await self.adopted("hand-over of a client", self.server.adopt(sock, door))
         for number in told["controls"]:
-            listener = self.control.listen(heritage.socket(number))
+            listener = self.control.listen(handover.socket(number))
             if listener.where() != self.config.control:
                 asyncio.get_running_loop().call_later(OLD_CONTROL_S, listener.close)
         for caller in told["callers"]:
-            sock = heritage.socket(caller["fd"])
+            sock = handover.socket(caller["fd"])
             await self.adopted("hand-over of an operator", self.control.adopt(sock, base64.b64decode(caller["line"])))
-        heritage.close()
+        handover.close()
 
     # Stopping
 
--- a/lemonshunt/net/upgrade.py
+++ b/lemonshunt/net/upgrade.py
@@ -37,7 +37,7 @@
 log = logging.getLogger("lemonshunt.upgrade")
 
 
-class Heritage:
+class HandoverState:
     """What the process before handed over. Descriptors belong to whoever takes them out."""
 
     def __init__(self, link: socket.socket, told: dict[str, Any], fds: list[int]) -> None:
@@ -114,26 +114,26 @@
             log.warning("the lock is refused here, going on without it: %s", error)
         return True
 
-    async def obtain(self, make: Callable[[Heritage | None], Awaitable[Made]]) -> Made:
+    async def obtain(self, make: Callable[[HandoverState | None], Awaitable[Made]]) -> Made:
         """Become the owner: alone, or by taking over. `make` builds what will serve, and may be called again
         where a take-over came to nothing."""
         while True:
             if self.free():
                 return await make(None)
-            heritage = self.ask()
-            if heritage is not None:
-                made = await make(heritage)
-                lock = heritage.confirm()
+            handover = self.ask()
+            if handover is not None:
+                made = await make(handover)
+                lock = handover.confirm()
                 if lock >= 0:
-                    heritage.link.close()
+                    handover.link.close()
                     os.close(self.fd)
                     self.fd = lock
                     return made
-                heritage.close()
+                handover.close()
                 log.warning("the process before has not handed over; trying again")
             await asyncio.sleep(RETRY_S)
 
-    def ask(self) -> Heritage | None:
+    def ask(self) -> HandoverState | None:
         """Ask the owner for all that it has; None where it does not answer as it should."""
         fds: list[int] = []
         link = None
@@ -149,14 +149,14 @@
                 fds += more
                 if not said:
                     raise ConnectionResetError("the process before has gone")
-            return Heritage(link, told, fds)
+            return HandoverState(link, told, fds)
         except (OSError, ValueError, struct.error) as error:
             why = str(error) or type(error).__name__
             if why != self.why:  # asked again and again, it may well say the same for seconds
                 log.warning("the process before does not hand over: %s", why)
             self.why = why
             if link is not None:
-                Heritage(link, {}, fds).close()
+                HandoverState(link, {}, fds).close()
             return None
 
     def listen(self, hand_over: Callable[[socket.socket], None]) -> None:
