--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -15,7 +15,7 @@
 from lemonshunt.net.config import Config, ConfigError, load
 from lemonshunt.net.control import Control
 from lemonshunt.net.engine import Engine, Maker
-from lemonshunt.net.identity import Stranger
+from lemonshunt.net.identity import ForeignState
 from lemonshunt.net.listen import bind
 from lemonshunt.net.upgrade import HandoverState, Ownership
 
@@ -92,7 +92,7 @@
         return 2
     try:
         asyncio.run(serve(config, parts))
-    except (OSError, NewerFormat, Stranger) as error:
+    except (OSError, NewerFormat, ForeignState) as error:
         print(f"lemonshunt: cannot serve: {error}", file=sys.stderr)
         return 1
     return 0
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -171,7 +171,7 @@
         parts: Sequence[Maker] = (),
     ) -> None:
         """Reads the journal and writes nothing: until it runs, another process may own all of it. Raises OSError,
-        and NewerFormat or Stranger where the folder is not for this program or this forwarder."""
+        and NewerFormat or ForeignState where the folder is not for this program or this forwarder."""
         self.config, self.ownership, self.clients, self.handover = config, ownership, clients, handover
         told = handover.told if handover is not None else {}
         self.clock = AnchoredClock(config.state, told.get("clock"))
--- a/lemonshunt/net/identity.py
+++ b/lemonshunt/net/identity.py
@@ -22,7 +22,7 @@
 log = logging.getLogger("lemonshunt.identity")
 
 
-class Stranger(Exception):
+class ForeignState(Exception):
     """The folder is another forwarder's; the text says whose."""
 
 
@@ -68,11 +68,11 @@
 
 
 def claim(folder: Path, name: str) -> tuple[Identity | None, Start]:
-    """What this start finds. Raises Stranger."""
+    """What this start finds. Raises ForeignState."""
     found = read(folder)
     if found is not None:
         if found.name != name:
-            raise Stranger(f"{folder} is the folder of {found.name}, not of {name}")
+            raise ForeignState(f"{folder} is the folder of {found.name}, not of {name}")
         return found, Start.AGAIN
     used = (folder / FILE).exists() or any(folder.glob("journal*")) or any(folder.glob("snapshot*"))
     return None, Start.UNKNOWN if used else Start.FIRST
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -546,7 +546,7 @@
     again, start = identity.claim(tmp_path, "n1")
     assert again == first and start is identity.Start.AGAIN
     assert identity.begin(again, tmp_path, "n1", 99).starts == 2
-    with pytest.raises(identity.Stranger, match="folder of n1, not of n2"):
+    with pytest.raises(identity.ForeignState, match="folder of n1, not of n2"):
         identity.claim(tmp_path, "n2")
     data = bytearray((tmp_path / "identity").read_bytes())
     for at in range(len(data)):
