--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -16,7 +16,6 @@
 from lemonshunt.state import (
     PLACE_KEPT,
     TARGET_KEPT,
-    Agenda,
     Attempt,
     Books,
     Call,
@@ -25,6 +24,7 @@
     Message,
     Place,
     Target,
+    TimerQueue,
     kept,
     restore,
 )
@@ -86,7 +86,7 @@
         self.banned: dict[int, int] = {}  # targets that operators leave out, since when
         self.places: dict[tuple[int, int], Place] = {}
         self.messages: dict[str, Message] = {}
-        self.held, self.agenda, self.jammed = Held(), Agenda(), False
+        self.held, self.timers, self.jammed = Held(), TimerQueue(), False
         self.books, self.lists = Books(), 0
         self.tune(settings)
         self.idle_us = self.idle_top
@@ -101,7 +101,7 @@
         self.actions: list[i.Action] = []
         self.parts: list[i.Part] = []
         if settings.subscribe:
-            self.agenda.add(now, THE_LIST)
+            self.timers.add(now, THE_LIST)
 
     def tune(self, settings: i.Settings) -> None:
         """Take on settings, the first or new ones. Held messages keep the class that they came with."""
@@ -115,7 +115,7 @@
     def handle(self, now: int, events: Iterable[i.Event]) -> list[i.Action]:
         """Absorb the events of one round, then decide once."""
         self.now, self.actions, self.round_calls, self.shortest = now, [], {}, {}
-        self.looks = self.agenda.due(now)
+        self.looks = self.timers.due(now)
         self.came_back: list[Call] = []
         for event in events:
             match event:
@@ -165,8 +165,8 @@
         for call in self.came_back:
             if call.gap > self.idle_us > 0 and not call.target.out:
                 self.actions.append(i.CloseIdle(call.target.id))
-        if self.agenda.entries and not now < self.armed <= self.agenda.entries[0][0]:
-            self.armed = self.agenda.entries[0][0]
+        if self.timers.entries and not now < self.armed <= self.timers.entries[0][0]:
+            self.armed = self.timers.entries[0][0]
             self.actions.append(i.SetTimer(max(1, self.armed - now), "look"))
         return self.actions
 
@@ -224,7 +224,7 @@
     def listed(self, event: i.Listed) -> None:
         """Follow the list. A drained or gone target gets nothing new from this round on."""
         if event.kind is i.ListKind.FAILED:
-            self.agenda.add(self.now + self.ask_pause + self.random.randrange(self.ask_pause), THE_LIST)
+            self.timers.add(self.now + self.ask_pause + self.random.randrange(self.ask_pause), THE_LIST)
             self.ask_pause = min(2 * self.ask_pause, 4 * ASK_AGAIN_US)
             return
         self.ask_pause, self.lists = ASK_AGAIN_US, self.lists + 1
@@ -355,7 +355,7 @@
         """The key's turn may have come to its next message, perhaps for another destination."""
         if line.queue and not line.out:
             self.looks.add(line.queue[0].destination)
-            self.agenda.add(max(self.now, line.rest_until), line.queue[0].destination)
+            self.timers.add(max(self.now, line.rest_until), line.queue[0].destination)
 
     def answer(self, m: Message) -> None:
         """The only place that gives final answers. Refuse where a new try does no harm, else fail."""
@@ -626,7 +626,7 @@
             opens, gate = self.opening(destination)
             self.book(destination, gate)
             first_drop = min(self.drop_at(m) for m in self.held.piles[destination].values())
-            self.agenda.add(max(self.now + LOOK_US, min(first_drop, opens)), destination)
+            self.timers.add(max(self.now + LOOK_US, min(first_drop, opens)), destination)
 
     def preference(self, m: Message, t: Target) -> tuple[float, ...]:
         """Which open target is best: a sound one, a call already forming, a cheap one, a quiet one."""
--- a/lemonshunt/health.py
+++ b/lemonshunt/health.py
@@ -142,8 +142,8 @@
         for destination in sorted(self.touched):
             self.look(destination)
         self.touched.clear()
-        d.agenda.add(d.now + BEAT_US, THE_BEAT)
-        self.due = d.agenda.earliest[THE_BEAT]
+        d.timers.add(d.now + BEAT_US, THE_BEAT)
+        self.due = d.timers.earliest[THE_BEAT]
         if len(self.records) > len(d.targets):  # those that the Dispatcher has forgotten
             self.records = {n: r for n, r in self.records.items() if n in d.targets}
 
@@ -200,7 +200,7 @@
         r.times, r.trial, r.since = r.times + 1, 0, d.now
         self.ejections += 1
         d.eject(t)
-        d.agenda.add(r.until, t.destination)
+        d.timers.add(r.until, t.destination)
         d.actions.append(i.Note(f"health: target {t.id} ejected for {(r.until - d.now) / SECOND:.1f} s: {r.why}"))
 
     def give_back(self, number: int, r: Record) -> None:
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -181,7 +181,7 @@
 
 
 @dataclass(slots=True)
-class Agenda:
+class TimerQueue:
     """When to look at which destination again, earliest first."""
 
     entries: list[tuple[int, int]] = field(default_factory=list)
