--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -17,9 +17,9 @@
     PLACE_KEPT,
     TARGET_KEPT,
     Attempt,
-    Books,
     Call,
     Held,
+    HoldTimes,
     Line,
     Message,
     Place,
@@ -87,7 +87,7 @@
         self.places: dict[tuple[int, int], Place] = {}
         self.messages: dict[str, Message] = {}
         self.held, self.timers, self.jammed = Held(), TimerQueue(), False
-        self.books, self.lists = Books(), 0
+        self.books, self.lists = HoldTimes(), 0
         self.tune(settings)
         self.idle_us = self.idle_top
         self.ask_pause, self.cleared_at, self.shed_at = ASK_AGAIN_US, now, now - FORGET_US
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -209,7 +209,7 @@
 
 
 @dataclass(slots=True)
-class Books:
+class HoldTimes:
     """How long messages were held by which gate, by destination and class, in microseconds since the start."""
 
     sums: dict[tuple[int, str], dict[Gate, int]] = field(default_factory=dict)
