--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -20,7 +20,7 @@
     Call,
     Held,
     HoldTimes,
-    Line,
+    KeyQueue,
     Message,
     Place,
     Target,
@@ -92,7 +92,7 @@
         self.idle_us = self.idle_top
         self.ask_pause, self.cleared_at, self.shed_at = ASK_AGAIN_US, now, now - FORGET_US
         self.attempts: dict[tuple[str, int], Attempt] = {}
-        self.lines: dict[str, Line] = {}
+        self.lines: dict[str, KeyQueue] = {}
         self.purses: dict[str, int] = {}
         self.calls_out, self.taken, self.armed, self.asking_until = 0, 0, -1, now
         self.list_awaited_until = self.machine_rests_until = now
@@ -141,7 +141,7 @@
                     self.idle_us = min(self.idle_us, self.idle_top)
                     self.looks.update(self.held.piles)
                 case i.EndRecalled():
-                    self.lines.setdefault(event.key, Line()).ending[event.message] = 0
+                    self.lines.setdefault(event.key, KeyQueue()).ending[event.message] = 0
                 case i.Confirmed() if event.key in self.lines:
                     self.lines[event.key].ending.pop(event.message, None)
                     self.next_in(self.lines[event.key])
@@ -202,7 +202,7 @@
             if number in self.targets:
                 restore(self.targets[number], TARGET_KEPT, row)
         for key, until in memory.rests.items():
-            line = self.lines.setdefault(key, Line())
+            line = self.lines.setdefault(key, KeyQueue())
             line.rest_until = max(line.rest_until, until)
         self.purses, self.idle_us = dict(memory.purses), min(memory.idle_us, self.idle_top)
         for out in memory.calls:
@@ -317,7 +317,7 @@
         self.held.add(m)
         self.looks.add(m.destination)
         if key is not None:
-            self.lines.setdefault(key, Line()).queue.append(m)
+            self.lines.setdefault(key, KeyQueue()).queue.append(m)
         return m
 
     def recalled(self, event: i.Recalled) -> None:
@@ -351,7 +351,7 @@
             self.lines[m.key].queue.remove(m)
             self.next_in(self.lines[m.key])
 
-    def next_in(self, line: Line) -> None:
+    def next_in(self, line: KeyQueue) -> None:
         """The key's turn may have come to its next message, perhaps for another destination."""
         if line.queue and not line.out:
             self.looks.add(line.queue[0].destination)
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -151,7 +151,7 @@
 
 
 @dataclass(slots=True)
-class Line:
+class KeyQueue:
     """The messages of one key, in the order they were taken, and what still blocks the key."""
 
     queue: deque[Message] = field(default_factory=deque)
