Test that a wait which crosses a giving up is heard, and that half a request is told

Cause: both mends had no test of their own. Change: an endpoint that refuses, with a wait, 40 ms after its call's time is left alone for that wait; half a request whose connection is given up for want of room is answered 503.

--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -6,12 +6,13 @@
 import os
 import resource
 import signal
+import time
 from pathlib import Path
 
 import pytest
 
 from lab.shim import Failure
-from tests.sockets import OK, Answer, Client, Node, Platform, Request, always, once
+from tests.sockets import OK, Answer, Client, Node, Platform, Request, always, message, once
 from tests.test_node import folder_nodes, ids, node_on, play, target
 
 DESCRIPTORS = 256  # as Node configures
@@ -126,3 +127,36 @@
         await node.fail()
         await node.until_ready()
     play(scene, tmp_path)
+
+
+def test_a_wait_that_is_told_as_its_call_is_given_up_is_heeded(tmp_path: Path) -> None:
+    """Suspected behind a broken wait of the soak day: a refusal that was written just after the giving up."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        came_s: list[float] = []
+
+        async def late(request: Request) -> Answer:
+            came_s.append(time.monotonic())
+            if len(came_s) > 1:
+                return OK
+            await asyncio.sleep(float(request.headers["x-time-left"]) + 0.04)
+            return Answer(429, {"X-RateLimit-Wait-Ms": "1500"})
+        peer = await target(platform, late)
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("held", "status"))[0] == 202
+        left_s = float((await peer.got(1))[0].headers["x-time-left"])
+        await peer.got(2)
+        assert came_s[1] - came_s[0] > left_s + 1.4
+    play(scene, tmp_path)
+
+
+def test_half_a_request_that_is_given_up_for_want_of_room_is_told_so(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        node = await node_on(folder, platform)
+        half = await node.client()
+        half.writer.write(message("half")[:60])
+        await asyncio.sleep(0.6)  # it is not new any more
+        clients = await resting_clients(node, RESTING_CLIENTS, ask=False)
+        assert (await half.answer())[0] == 503
+        for client in clients:
+            client.writer.close()
+    play(scene, tmp_path)
