--- a/lemonshunt/net/control.py
+++ b/lemonshunt/net/control.py
@@ -102,7 +102,7 @@
         self.listeners: dict[Address, Listener] = {}  # our own, and for a time that of the process before
 
     def listen(self, sock: socket.socket) -> Listener:
-        listener = Listener(sock, BACKLOG, lambda: Caller(self))
+        listener = Listener(sock, BACKLOG, lambda: Caller(self), self.room)
         self.listeners[listener.where()] = listener
         return listener
 
@@ -111,6 +111,11 @@
         sock.setblocking(False)
         await asyncio.get_running_loop().connect_accepted_socket(lambda: Caller(self, line), sock)
 
+    def room(self) -> int:
+        """How many more may be accepted now: those that are closed hold a descriptor until the loop's next turn."""
+        coming = sum(len(listener.coming) for listener in self.listeners.values())
+        return 2 * MOST_CALLERS - len(self.callers) - coming
+
     def joined(self, caller: Caller) -> None:
         self.callers[caller] = None
         if len(self.callers) > MOST_CALLERS:
