Let the decisions end what fell due in a standstill, before the watchdog does

Change: a tick that comes late leaves them to the decisions; where it does end one, its key waits for the acknowledgement.

--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -398,7 +398,8 @@
         """Watch the loop, and that no message is past its time without an end: that would break a promise."""
         now, due = time.monotonic(), self.next_tick_s
         self.next_tick_s = now + TICK_S
-        if now - due > LAG_S and now - self.lag_s > LAG_LOG_S:
+        late = now - due > LAG_S
+        if late and now - self.lag_s > LAG_LOG_S:
             self.lag_s = now
             log.warning("the loop stood still for %d ms", (now - due) * 1000)
         if now - self.state_s > STATE_LOG_S:
@@ -414,10 +415,17 @@
             self.reasons.report()
         if self.life.phase is not Phase.SERVING and self.life.step(self.clock(), self.store.messages):
             log.info("phase: %s", self.tell_phase())
+        if not late:  # after a standstill the decisions come first: their timers are due as well
+            self.end_overdue()
+
+    def end_overdue(self) -> None:
+        """End what the decisions have left without an end, past its time."""
         old = self.clock() - OVERDUE_US
         for m in [m for m in self.store.messages.values() if m.due_us < old and not self.frozen]:
             log.error("message %s was left without an end", m.id)
             self.store.owe(m.id, "failed", 0)
+            if m.key is not None:  # the next of its key waits until the platform has heard of it
+                self.post(i.EndRecalled(m.id, m.key))
             self.post(i.Withdrawn(m.id))
 
     def log_state(self) -> None:
