--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -78,7 +78,7 @@
         """Whether an answer, or a part of one, has come that whoever asked has not seen yet."""
         if self.answer is None:
             return False
-        return self.answer.done() or (self.usable() and bool(unread([self.transport] if self.transport else [])))
+        return self.answer.done() or (self.usable() and bool(unread([self.transport])))
 
     def usable(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
--- a/lemonshunt/net/listen.py
+++ b/lemonshunt/net/listen.py
@@ -62,11 +62,18 @@
     return int(transport.get_extra_info("socket").fileno())
 
 
-def unread(transports: Iterable[asyncio.BaseTransport]) -> set[int]:
+def descriptor(transport: asyncio.BaseTransport | None) -> int:
+    """The descriptor of a connection; -1 where it has none, or none any more."""
+    sock = None if transport is None else transport.get_extra_info("socket")
+    return -1 if sock is None else int(sock.fileno())
+
+
+def unread(transports: Iterable[asyncio.BaseTransport | None]) -> set[int]:
     """The descriptors of those connections on which bytes or an end wait in the kernel. One system call for all."""
     waiting = select.poll()
-    for transport in transports:
-        waiting.register(fileno(transport), select.POLLIN)
+    for number in map(descriptor, transports):
+        if number >= 0:
+            waiting.register(number, select.POLLIN)
     return {number for number, _ in waiting.poll(0)}
 
 
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -18,7 +18,7 @@
 
 from lemonshunt import interface as i
 from lemonshunt.net.http import MOST_BODY, destination
-from lemonshunt.net.listen import Listener, fileno, unread
+from lemonshunt.net.listen import Listener, descriptor, fileno, unread
 from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.supervise import Supervisor
 
@@ -449,8 +449,8 @@
     @staticmethod
     def unread(doors: Iterable[ClientConnection]) -> set[ClientConnection]:
         """Those with bytes, or an end, that wait in the kernel: closed now, a request might be lost."""
-        by_number = {fileno(door.transport): door for door in doors if not door.closed()}
-        return {by_number[number] for number in unread([d.transport for d in by_number.values() if d.transport])}
+        by_number = {descriptor(door.transport): door for door in doors if not door.closed()}
+        return {by_number[number] for number in unread(door.transport for door in by_number.values())}
 
     def sweep(self) -> None:
         """Peers that send nothing, or a part of a request, must not hold their sockets: clients need them."""
