--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -409,10 +409,16 @@
         return self.most + OVERSHOOT - len(self.doors) - coming
 
     def joined(self, door: ClientConnection) -> None:
-        """Keep the bound: each connection beyond it costs another one, or itself where none can be spared."""
+        """Keep the bound: each connection beyond it costs another one, or itself where none can be spared. One whose
+        request waits unread stays: nothing more is accepted until others have gone."""
         self.doors.add(door)
-        if len(self.doors) - len(self.closing) > self.most:
-            (self.spare(door) or door).evict("too many clients")
+        if len(self.doors) - len(self.closing) <= self.most:
+            return
+        victim = self.spare(door)
+        if victim is None and not self.unread([door]):
+            victim = door
+        if victim is not None:
+            victim.evict("too many clients")
 
     def spare(self, new: ClientConnection | None = None) -> ClientConnection | None:
         """The connection that is given up first: a silent or half-read one that is not quite new; then the one between
