--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -405,14 +405,20 @@
     def room(self) -> int:
         """How many connections may be accepted now. All that hold a descriptor count, those that are closing too: what
         is closed gives its descriptor back in the loop's next turn, and until then a burst would find none."""
+        while self.crowded() and (door := self.spare()) is not None:  # one that could not be spared before, now can
+            door.evict("too many clients")
         coming = 0 if self.listener is None else len(self.listener.coming)
         return self.most + OVERSHOOT - len(self.doors) - coming
 
+    def crowded(self) -> bool:
+        """Whether there are more than the bound, without those that are closing."""
+        return len(self.doors) - len(self.closing) > self.most
+
     def joined(self, door: ClientConnection) -> None:
         """Keep the bound: each connection beyond it costs another one, or itself where none can be spared. One whose
         request waits unread stays: nothing more is accepted until others have gone."""
         self.doors.add(door)
-        if len(self.doors) - len(self.closing) <= self.most:
+        if not self.crowded():
             return
         victim = self.spare(door)
         if victim is None and not self.unread([door]):
