--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -16,7 +16,7 @@
 from lemonshunt.net.discovery import Notices
 from lemonshunt.net.store import PendingNotice
 from lemonshunt.net.supervise import Supervisor
-from tests.sockets import OK, PATIENCE, Answer, Node, Platform, always
+from tests.sockets import OK, PATIENCE, Answer, Node, Platform, Request, always
 from tests.test_node import folder_nodes, ids, play, target
 
 FULL_DISK = (Failure("write", "ENOSPC"), Failure("open", "ENOSPC"))
@@ -242,3 +242,38 @@
 
 
 
+
+
+def test_nothing_is_handed_over_that_the_journal_lacks(tmp_path: Path) -> None:
+    """Found by the soak: a process that took over while the old one could not write went by the list before a drain."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        drained = await target(platform, always(OK))
+        node = await shimmed(folder, platform)
+        await platform.got(2)
+        await node.fail(*FULL_DISK)
+        other = await target(platform, always(OK), "s2")
+        platform.news[platform.seq + 1] = [dict(platform.hosts["s2"])]
+        platform.hosts["s1"]["health"] = "draining"
+        platform.news[platform.seq + 1].append(dict(platform.hosts["s1"]))
+        platform.seq += 1
+        await platform.note()
+        await platform.until(lambda: any("from=2" in r.path for r in platform.requests))  # it was told
+        answered, answer_now = platform.handler, asyncio.Event()
+
+        async def slow(request: Request) -> Answer | bytes | None:
+            await answer_now.wait()
+            return await answered(request)
+        platform.handler = slow
+        new = node.beside()
+        new.shim = None
+        folder_nodes[-1].append(new)
+        starting = asyncio.create_task(new.start())
+        await asyncio.sleep(1.5)
+        await node.fail()
+        await starting
+        assert (await new.hand_in("m", "status"))[0] == 202
+        await asyncio.sleep(0.3)
+        assert not drained.requests
+        answer_now.set()
+        await other.got(1)
+    play(scene, tmp_path)
