--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -815,6 +815,9 @@
             self.round()  # what the first one brought about
         if self.syncer is not None and not self.syncer.barrier():
             return  # calls and answers wait here: they cannot be handed over
+        self.store.retry()
+        if self.rules.may_hand_over() is not None:
+            return  # who asks goes by the journal: it has to have all that is here, and asks again
         fds: list[int] = []
 
         def put(fd: int) -> int:
--- a/lemonshunt/net/rules.py
+++ b/lemonshunt/net/rules.py
@@ -120,6 +120,13 @@
             return Denial.STILL_OUT
         return None if self.store.may_tell(message, now_us) else Denial.NOT_RECORDED
 
+    def may_hand_over(self) -> Denial | None:
+        """Whether another process may go on from the journal: it would not know of what is not on record."""
+        if not self.store.failed:
+            return None
+        self._denied("hand-over", Denial.NOT_RECORDED, "")
+        return Denial.NOT_RECORDED
+
     def _denied(self, what: str, denial: Denial, message: str) -> None:
         subject = Subject.VIOLATION if denial in VIOLATIONS else Subject.HELD_BACK
         self.reasons.note(subject, f"{what}: {denial.value}", message)
