Read a configuration again that could not be read at SIGHUP

Found by reading. Change: an unreadable file is read again each 0.2 s; a file that is not whole still changes nothing.

--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -20,6 +20,10 @@
     """The configuration is missing or cannot hold; the text is one line."""
 
 
+class ConfigUnreadable(ConfigError):
+    """The file could not be read just now; it may be later."""
+
+
 @dataclass(frozen=True, slots=True)
 class Address:
     host: str
@@ -126,7 +130,9 @@
         raise ConfigError("LB_CONFIG is not set")
     try:
         told = json.loads(Path(path).read_bytes())
-    except (OSError, ValueError) as error:
+    except OSError as error:
+        raise ConfigUnreadable(f"cannot read {path}: {error}") from None
+    except ValueError as error:
         raise ConfigError(f"cannot read {path}: {error}") from None
     try:
         if before is not None:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -27,7 +27,7 @@
 from lemonshunt.net import identity
 from lemonshunt.net.client import Call, Item, Pool, Result
 from lemonshunt.net.clock import AnchoredClock
-from lemonshunt.net.config import Address, Config, ConfigError, HostList, host, load
+from lemonshunt.net.config import Address, Config, ConfigError, ConfigUnreadable, HostList, host, load
 from lemonshunt.net.control import Calls, Control, Refused, alone
 from lemonshunt.net.discovery import FIRST_LIST_US, Notices, Watch
 from lemonshunt.net.drain import LATE_S, Drain
@@ -52,6 +52,7 @@
 TICK_S = 0.1
 SPARE_SOCKETS = 40  # descriptors of two processes that are no connections
 STOP_STEP_S = 0.05
+RELOAD_AGAIN_S = 0.2  # a configuration that cannot be read is tried again after this
 CONTROL_AGAIN_S = 1.0  # the operators' address is tried again after this
 OLD_CONTROL_S = 10.0  # after an upgrade calls are answered at the old control address too
 REASONS_LOG_S = 1.0  # between two reports of why connections were closed, calls retried, requests refused
@@ -237,6 +238,7 @@
         self.rounds, self.state_s = 0, time.monotonic()
         self.begun_s = self.reasons_s = time.monotonic()
         self.first_list_s: float | None = None  # when discovery first told a list, after the start
+        self.reloading: asyncio.TimerHandle | None = None
         self.done = asyncio.Event()
         self.syncer: Syncer | None = None  # set by a part: what a record precedes waits until that is synced
         self.parts = [make(self) for make in parts]
@@ -363,8 +365,15 @@
         """SIGHUP: read the configuration again. What can change under a running forwarder is where discovery
         is, and the settings; a file that is not whole or cannot hold changes nothing."""
         before = self.config
+        if self.reloading is not None:
+            self.reloading.cancel()
+            self.reloading = None
         try:
             told = load(before=before)
+        except ConfigUnreadable as error:  # discovery may have moved: without its new address no notice is heard
+            log.error("the configuration is read again soon: %s", error)
+            self.reloading = asyncio.get_running_loop().call_later(RELOAD_AGAIN_S, self.reload)
+            return
         except ConfigError as error:
             log.error("the configuration is left as it was: %s", error)
             return
