Answer operators who are handed over as a forwarder that serves

Cause: test_clients_calls_and_order_pass_to_the_new_process failed twice under load (one of 8 at once): callers adopted while clients are adopted were answered 'fail not serving yet', since the words were set only afterwards. Change: they are set before.

--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -320,6 +320,7 @@
             await self.adopt_calls(self.handover)
         self.round()
         self.notices.kick()
+        self.control.calls = self.calls  # operators who are handed over have called a forwarder that serves
         if self.handover is not None:
             await self.adopt_clients(self.handover)
         self.server.listen(self.clients)
