--- a/lemonshunt/journal.py
+++ b/lemonshunt/journal.py
@@ -14,6 +14,8 @@
 known by its number. A closed journal ends with a record that says so: without it, its end is lost.
 
 - A torn tail (the process died in a write): what it held had not taken effect yet, and it is cut.
+- What is appended at once counts as a whole or not at all: its first marker is written last, and stands as zeros until
+  then. From a record without its marker on, nothing has taken effect, and it is cut like a torn tail.
 - Records that are missing before sound ones, or a tail that is no clean beginning of a record: damage. Each message
   that was held at that point may have run and may be over, since a lost record may have said so. One that may be
   repeated goes on; any other is never sent again and ends by a notice. A message of which only later records are left
@@ -45,6 +47,8 @@
 CHECK = struct.Struct("<I")
 HEADER = 2 * (FILE_HEAD.size + CHECK.size)
 MARK = b"\xe7\x4a"
+NO_MARK = bytes(len(MARK))
+"""Stands in a marker's place until all that is appended with its record is written."""
 HEAD = struct.Struct("<2sHIII")  # marker, check of the rest of the head, length, number, checksum
 OLD_HEAD = struct.Struct("<II")
 MOST_RECORD = 1 << 21
@@ -161,6 +165,9 @@
     sound: dict[int, bytes] = {}
     while at < len(data):
         got = _record_at(data, at, salt)
+        if got is None and _uncommitted(data, at, salt):
+            found.torn = len(data) - at
+            break
         if got is None:
             then = next(_sound_after(data, at, salt), None)
             if then is None:
@@ -206,6 +213,15 @@
         found.tail_lost = True
 
 
+def _uncommitted(data: bytes, at: int, salt: int) -> bool:
+    """Whether an append begins here whose marker was never written: the process died, or its write failed, before."""
+    head = data[at : at + HEAD.size]
+    mark = head[: len(MARK)]
+    if mark == MARK or any(byte not in (0, whole) for byte, whole in zip(mark, MARK, strict=False)):
+        return False
+    return len(head) < HEAD.size or _head_check(MARK + head[len(MARK) :], salt)
+
+
 def _head_check(head: bytes, salt: int) -> bool:
     return head[:2] == MARK and int.from_bytes(head[2:4], "little") == zlib.crc32(head[4:], salt) & 0xFFFF
 
--- a/lemonshunt/net/files.py
+++ b/lemonshunt/net/files.py
@@ -173,11 +173,14 @@
     # Writing
 
     def append(self, data: bytes) -> None:
-        """To the journal. Raises OSError, and leaves it as it was, if that can be done."""
+        """To the journal: as a whole, or not at all. Raises OSError, and then nothing of it counts, whether or not what
+        was written can be cut off again."""
         if self.fd < 0:
             raise OSError(errno.EBADF, "no journal could be opened yet")
         try:
-            write(self.fd, data)
+            write(self.fd, journal.NO_MARK + data[len(journal.MARK) :])
+            if os.pwrite(self.fd, journal.MARK, self.size) < len(journal.MARK):
+                raise OSError(errno.EIO, "half a marker was written")
         except OSError:
             with suppress(OSError):  # a folder that has become read-only: the tail is torn, and told by its check
                 os.ftruncate(self.fd, self.size)
@@ -221,7 +224,8 @@
 
     def renew(self, salt: int, contents: Iterator[tuple[Line, bytes]]) -> None:
         """All in one go: a snapshot and a journal that hold nothing of the files before, which are removed. Raises
-        OSError; the files before are then as they were."""
+        OSError; then the files before count as they did, but where `snapshot` has changed: the new one counts already,
+        and only the journal to go on with is missing."""
         self.abandon()
         whole = self.writing = Writing(self._fresh(NEW_SNAPSHOT), self.generation + 1, salt, contents)
         while not whole.more(1 << 20, self.durable):
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -100,6 +100,8 @@
         self.retry_at_s, self.retry_pause_s, self.write_failures = 0.0, FIRST_RETRY_S, 0
         self.unwritten_ends: dict[str, int] = {}
         """Ends that are owed and not on record, each with the time at which its message is over in any case."""
+        self.unrecorded: set[str] = set()
+        """Messages that were taken since all was last on record: their clients have no answer yet."""
         self.pending: list[bytes] = []
         self.touched: set[str] = set()  # ids that later records tell of, whose message itself is lost
         self.found = journal.assemble(self.files.names(), self.files.read, salt)
@@ -305,6 +307,7 @@
     # Writing
 
     def take(self, m: AcceptedMessage) -> None:
+        self.unrecorded.add(m.id)
         self.messages[m.id] = m
         self.live += m.size
         self.pending.append(self._record(self._line(m), m.body))
@@ -416,47 +419,60 @@
 
     def flush(self) -> bool:
         """Write what was gathered, and a little more of a snapshot that is being written. Whether all that was ever
-        gathered is written now: nothing may leave that an unwritten record precedes (see docs/state.md)."""
-        if self.pending or self.failed:
-            self._write()
+        gathered is written now: nothing may leave that an unwritten record precedes (see docs/state.md). A snapshot
+        that fails afterwards takes nothing of that back."""
+        written = self._write() if self.pending or self.failed else True
+        if written:
+            self._all_recorded()
         if not self.failed:
-            self.unwritten_ends.clear()
             self.step()
-        return not self.failed
+        return written
 
-    def _write(self) -> None:
+    def _write(self) -> bool:
+        """Whether what was gathered is on record."""
         data, self.pending = b"".join(self.pending), []
         if self.failed:
-            self.retry()
-            return
-        if self._crowded(len(data)) and self._made_anew(len(data)):
-            return
+            return self.retry()
+        if self._crowded(len(data)):
+            recorded = self._made_anew(len(data))
+            if recorded or self.failed:
+                return recorded
         try:
             self.files.append(data)
         except OSError as error:
             # A full disk must not end the process: what is held is delivered, new work is refused.
             self._cannot(error)
-            self.retry()  # the one moment may be over
+            return self.retry()  # the one moment may be over
+        return True
+
+    def _all_recorded(self) -> None:
+        self.unwritten_ends.clear()
+        self.unrecorded.clear()
 
     def retry(self) -> bool:
         """Write all anew, after a failure, if it is time to try that again. Whether the files have everything now."""
-        if self.failed and time.monotonic() >= self.retry_at_s:
-            try:
-                if not self.owned:
-                    self._own()
-                self.compact()
-            except OSError as error:
-                self._cannot(error)
-            if self.failed:
-                self.retry_at_s = time.monotonic() + self.retry_pause_s
-                self.retry_pause_s = min(2 * self.retry_pause_s, MOST_RETRY_S)
-            else:
-                log.warning("journal: can be written again; all is written anew")
-                self.retry_pause_s = FIRST_RETRY_S
-        return not self.failed
+        if not self.failed:
+            return True
+        if time.monotonic() < self.retry_at_s:
+            return False
+        recorded = False
+        try:
+            if not self.owned:
+                self._own()
+            recorded = self.compact()
+        except OSError as error:
+            self._cannot(error)
+        if self.failed:
+            self.retry_at_s = time.monotonic() + self.retry_pause_s
+            self.retry_pause_s = min(2 * self.retry_pause_s, MOST_RETRY_S)
+        else:
+            log.warning("journal: can be written again; all is written anew")
+            self.retry_pause_s = FIRST_RETRY_S
+        return recorded
 
     def forget(self, name: str) -> None:
         """A message that was never taken on after all, since that could not be written."""
+        self.unrecorded.discard(name)
         m = self.messages.pop(name, None)
         if m is not None:
             self.live -= m.size
@@ -482,7 +498,7 @@
         """Close the journal and begin the next generation, whose snapshot is written in steps from here on."""
         last, self.pending = b"".join([*self.pending, self._record((journal.CLOSED,))]), []
         try:
-            self.files.begin(last, self.salt, self._contents())
+            self.files.begin(last, self.salt, self._contents(self._recorded()))
             self.number = 0
         except OSError as error:
             self._cannot(error)
@@ -517,7 +533,12 @@
                 self._cannot(error)
         return (self.failed or self._crowded(more)) and self.compact()
 
-    def _contents(self) -> Iterator[tuple[Line, bytes]]:
+    def _recorded(self) -> Iterator[AcceptedMessage]:
+        """The messages that a snapshot in steps holds: what is not on record yet may still be refused, and if it is
+        not, the journal beside the snapshot has it."""
+        return (m for m in [*self.messages.values()] if m.id not in self.unrecorded)
+
+    def _contents(self, messages: Iterable[AcceptedMessage]) -> Iterator[tuple[Line, bytes]]:
         """All that a snapshot holds. It is asked for in steps, and what has ended meanwhile is left out."""
         yield ("list", self.seq, [*self.hosts.values()]), b""
         yield from ((("names", part), b"") for part in _parts(self.names))
@@ -528,17 +549,22 @@
         yield from ((("owed", name, *end), b"") for name, end in [*self.owed.items()] if name in self.owed)
 
     def compact(self) -> bool:
-        """Write all that counts anew, in one go, in place of all files; what waits to be written is in it."""
+        """Write all that counts anew, in one go, in place of all files; what waits to be written is in it. Whether all
+        is on record now: also where the snapshot counts, but the journal to go on with could not be begun."""
         before, self.number = self.number, 0
+        snapshot = self.files.snapshot
         try:
-            self.files.renew(self.salt, self._contents())
+            self.files.renew(self.salt, self._contents(self.messages.values()))
         except OSError as error:
             self._cannot(error)
             self.number = before
-            return False
-        self.unwritten_ends.clear()
-        self.failed, self.pending = False, []  # memory is ahead of the files, so the new ones hold these too
-        self.compactions += 1
+            if self.files.snapshot == snapshot:
+                return False
+        else:
+            self.failed = False
+            self.compactions += 1
+        self.pending = []  # memory is ahead of the files, so the new ones hold these too
+        self._all_recorded()
         return True
 
     def close(self) -> None:
