Let an error in one decision cost that step alone

Cause (hypothesis I): an error in the middle of a round lost its other events (ends, recalled messages, and so the slots and keys they free) and the times at which destinations are looked at; a message then past its time made Dispatcher.order loop for ever. One endpoint brings it about: reports of nan or inf were taken (X-Backend-Load), and int(nan) raised in every later round. Change: each event and step is guarded, what an outcome teaches apart from its accounting; what was to be looked at is looked at again; reports, shares and waits out of range count as garbage; wirehost still tells of any fault.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -9,7 +9,8 @@
 import math
 import random
 from bisect import bisect_right
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from functools import partial
 
 from lemonshunt import interface as i
 from lemonshunt.interface import Gate, Outcome
@@ -99,6 +100,7 @@
         self.round_calls: dict[int, Call] = {}
         self.shortest: dict[tuple[int, str, int], float] = {}
         self.actions: list[i.Action] = []
+        self.faults: list[Exception] = []  # of the round
         self.parts: list[i.Part] = []
         if settings.subscribe:
             self.timers.add(now, THE_LIST)
@@ -113,63 +115,82 @@
         self.idle_top = min(settings.conn_idle_us, FORGET_US)
 
     def handle(self, now: int, events: Iterable[i.Event]) -> list[i.Action]:
-        """Absorb the events of one round, then decide once."""
+        """Absorb the events of one round, then decide once. An error in one step is kept in `faults` and costs that
+        step alone: the other events still count, and whatever was to be looked at is looked at again."""
         self.now, self.actions, self.round_calls, self.shortest = now, [], {}, {}
+        self.faults = []
         self.looks = self.timers.due(now)
         self.came_back: list[Call] = []
         for event in events:
-            match event:
-                case i.Arrived():
-                    self.arrived(event)
-                case i.Recalled():
-                    self.recalled(event)
-                case i.OutageRecalled(target, since, back) if target in self.targets:
-                    t = self.targets[target]
-                    t.outage_at, t.back_at, t.failing, t.tried_at = since, back, SURE_MARK, now
-                    t.spread = self.rest_of_turn()
-                case i.Banned(target, since):
-                    self.banned.setdefault(target, since)
-                    self.index()
-                case i.Unbanned(target) if target in self.banned:
-                    self.unbanned(target)
-                case i.Inherited(memory):
-                    self.inherit(memory)
-                case i.ListAwaited(until):
-                    self.list_awaited_until = until
-                case i.Retuned(new):
-                    self.tune(new)
-                    self.idle_us = min(self.idle_us, self.idle_top)
-                    self.looks.update(self.held.piles)
-                case i.EndRecalled():
-                    self.lines.setdefault(event.key, KeyQueue()).ending[event.message] = 0
-                case i.Confirmed() if event.key in self.lines:
-                    self.lines[event.key].ending.pop(event.message, None)
-                    self.next_in(self.lines[event.key])
-                case i.Ended():
-                    self.ended(event)
-                case i.Listed():
-                    self.listed(event)
-                case i.Withdrawn() if event.message in self.messages:
-                    self.over(self.messages[event.message])
-                case i.PartEvent():
-                    for part in self.parts:
-                        part.absorb(event)
+            self.guard(partial(self.absorb, event))
         for part in self.parts:
-            part.prepare()
+            self.guard(part.prepare)
         if THE_LIST in self.looks:
             self.actions.append(i.Subscribe())
-        self.drop()
-        self.release()
+        self.guard(self.drop)
+        self.guard(self.release)
         for part in self.parts:
-            part.decide()
+            self.guard(part.decide)
         for call in self.came_back:
             if call.gap > self.idle_us > 0 and not call.target.out:
                 self.actions.append(i.CloseIdle(call.target.id))
+        if self.faults:
+            for destination in self.looks & self.held.piles.keys():
+                self.timers.add(now + LOOK_US, destination)
         if self.timers.entries and not now < self.armed <= self.timers.entries[0][0]:
             self.armed = self.timers.entries[0][0]
             self.actions.append(i.SetTimer(max(1, self.armed - now), "look"))
         return self.actions
 
+    def guard(self, step: Callable[[], None]) -> None:
+        """Take one step; an error in it goes no further."""
+        try:
+            step()
+        except Exception as error:
+            self.faults.append(error)
+
+    def absorb(self, event: i.Event) -> None:
+        """Take in one event; what it changes is decided on once all are in."""
+        match event:
+            case i.Arrived():
+                self.arrived(event)
+            case i.Recalled():
+                self.recalled(event)
+            case i.OutageRecalled(target, since, back) if target in self.targets:
+                t = self.targets[target]
+                t.outage_at, t.back_at, t.failing, t.tried_at = since, back, SURE_MARK, self.now
+                t.spread = self.rest_of_turn()
+            case i.Banned(target, since):
+                self.banned.setdefault(target, since)
+                self.index()
+            case i.Unbanned(target) if target in self.banned:
+                self.unbanned(target)
+            case i.Inherited(memory):
+                self.inherit(memory)
+            case i.ListAwaited(until):
+                self.list_awaited_until = until
+            case i.Retuned(new):
+                self.tune(new)
+                self.idle_us = min(self.idle_us, self.idle_top)
+                self.looks.update(self.held.piles)
+            case i.EndRecalled():
+                self.lines.setdefault(event.key, KeyQueue()).ending[event.message] = 0
+            case i.KeyRestRecalled(key, until):
+                line = self.lines.setdefault(key, KeyQueue())
+                line.rest_until = max(line.rest_until, until)
+            case i.Confirmed() if event.key in self.lines:
+                self.lines[event.key].ending.pop(event.message, None)
+                self.next_in(self.lines[event.key])
+            case i.Ended():
+                self.ended(event)
+            case i.Listed():
+                self.listed(event)
+            case i.Withdrawn() if event.message in self.messages:
+                self.over(self.messages[event.message])
+            case i.PartEvent():
+                for part in self.parts:
+                    part.absorb(event)
+
     def why(self, name: str) -> list[tuple[Gate, int]]:
         """What has held a message that is not over, in microseconds, with what holds it now first."""
         m = self.messages[name]
@@ -460,6 +481,16 @@
             self.next_in(line)
         if event.outcome not in i.NEVER_RAN and m.ran_at < 0:
             m.ran_at, m.ran_on = call.sent_at, target.id
+        self.guard(partial(self.learn_outcome, m, call, event))
+        if m.id in self.messages and event.closed:
+            self.over(m)
+        elif m.id in self.messages:
+            m.avoid = target.id
+            self.held.add(m)
+
+    def learn_outcome(self, m: Message, call: Call, event: i.Ended) -> None:
+        """What an outcome tells of its target, its destination and this machine."""
+        target = call.target
         if event.report is not None:
             self.reported(target.place, event.report)
         if event.outcome is Outcome.HELD_BACK:
@@ -609,7 +640,8 @@
             self.calls_out < self.s.slots or any(call.joined < call.target.batch for call in self.round_calls.values())
         ):
             over, due, *_ = held[first]
-            end = bisect_right(held, (over, due + GROUP_RANGE * (due - self.now), self.taken, 0), first)
+            range_us = GROUP_RANGE * max(0, due - self.now)  # one past its time is a group all the same
+            end = bisect_right(held, (over, due + range_us, self.taken, 0), first)
             group = [self.held.piles[d][number] for _, _, number, d in held[first:end]]
             yield from sorted(group, key=lambda m: (self.soonest(m), m.due, m.number))
             first = end
--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import zlib
 from collections.abc import Mapping
@@ -91,6 +92,8 @@
     health = need(raw, "health", str)
     if health not in HEALTH:
         raise Malformed(f"unknown health {health!r}")
+    if "share" in raw and not 0.0 <= need(raw, "share", float) < math.inf:
+        raise Malformed(f"no share: {raw['share']!r}")
     made = Host(need(raw, "host", str), address(need(raw, "dial", str)), need(raw, "block", int), health, raw)
     made.entry(0)  # a bad line must be found here, not in the middle of a round
     return made
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -604,10 +604,13 @@
         try:
             actions = self.dispatcher.handle(now, events)
         except Exception as error:
-            # A fault in a decision must cost its message and not the process, which holds all the others. What was
-            # decided until then is booked, so it is carried out.
-            self.supervisor.failed("decisions", error)
+            self.dispatcher.faults.append(error)
             actions = self.dispatcher.actions
+        if self.dispatcher.faults:
+            # A fault in a decision must cost its message and not the process, which holds all the others. What was
+            # decided besides is booked, so it is carried out.
+            for fault in self.dispatcher.faults:
+                self.supervisor.failed("decisions", fault)
             self.set_timer(now + AFTER_FAULT_US, "look")
             for name in [
                 name
--- a/lemonshunt/net/http.py
+++ b/lemonshunt/net/http.py
@@ -13,6 +13,11 @@
 MOST_FIRST = 256
 FIRST_OK = re.compile(rb"HTTP/1\.[01] 200( [^\r\n]*)?\r?\n")
 MOST_LIST = 8 * 1024 * 1024
+MOST_LEFT = 16.0
+"""Shares of an allowance above this are garbage: reports are noisy, but a share is one at most."""
+MOST_RATE = 1e9
+MOST_WAIT_US = 86_400_000_000
+"""No told wait is heeded for longer than a day."""
 Headers = dict[str, str]
 
 
@@ -100,7 +105,7 @@
         wait = -int(-float(headers.get("x-ratelimit-wait-ms", "0")) * 1000 // 1)
     except (ValueError, OverflowError):
         return None
-    return wait if wait >= 0 else None
+    return min(wait, MOST_WAIT_US) if wait >= 0 else None
 
 
 def load_report(headers: Headers, fields: tuple[str, ...]) -> i.LoadReport | None:
@@ -110,9 +115,11 @@
         return None
     try:
         told = {k.strip(): float(v) for k, _, v in (part.partition("=") for part in text.split(","))}
-        return i.LoadReport(told["x0"], told["x1"])
+        report = i.LoadReport(told["x0"], told["x1"])
     except (ValueError, KeyError):
         return None
+    sound = 0.0 <= report.left <= MOST_LEFT and 0.0 <= report.limit_per_s <= MOST_RATE
+    return report if sound else None
 
 
 def request(method: str, path: str, host: str, headers: Iterable[tuple[str, str]], body: bytes = b"") -> bytes:
--- a/lemonshunt/wirehost.py
+++ b/lemonshunt/wirehost.py
@@ -253,8 +253,10 @@
             inbox, inst.inbox = inst.inbox, []
             try:
                 actions = inst.dispatcher.handle(now, inbox)
-                # An instance of the simulator comes up empty: there is nothing to remember an outage in.
-                done.extend(action(name, a) for a in actions if not isinstance(a, i.Outage))
+                if inst.dispatcher.faults:
+                    raise inst.dispatcher.faults[0]
+                # An instance of the simulator comes up empty: there is nothing to remember an outage or a rest in.
+                done.extend(action(name, a) for a in actions if not isinstance(a, i.Outage | i.KeyRest))
             except Exception as error:  # any failure of the decisions is reported on the wire, in one line
                 done.append(fault(name, error))
         return json.dumps({"do": done}, separators=(",", ":"))
