Test the store under failing file calls and kills at any of them

Cause: the fault tests made one call fail at a time; what was refused and found again needed two. Change: random schedules of failing and short calls, kills in the middle of a call, several lives of a folder; 150 in the suite.

--- /dev/null
+++ b/tests/test_store_random.py
@@ -0,0 +1,151 @@
+"""The store under failing file calls and kills at any of them: what was promised is there, what was refused is not."""
+
+from __future__ import annotations
+
+import errno
+import itertools
+import os
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lemonshunt.interface import Effect, MessageClass
+from lemonshunt.net import store as store_module
+from lemonshunt.net.store import AcceptedMessage, Store
+
+CALLS = ("write", "pwrite", "open", "ftruncate", "replace", "unlink", "link", "close")
+FAILING = (None, None, ("write",), ("write", "open"), ("replace",), ("unlink",), ("pwrite",), ("write", "ftruncate"))
+RATES = (0.0, 0.0, 0.3, 1.0)
+KILLS = (0.0, 0.003)
+SCHEDULES = 150
+CLASSES = (MessageClass("status", 1, 1, Effect.REPEATABLE), MessageClass("turn", 1, 1, Effect.ONCE, in_order=True))
+
+
+class Killed(BaseException):
+    """The process dies in the middle of a call."""
+
+
+class Disk:
+    """Makes file calls fail, come short, or be the last one."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.chance = chance
+        self.rate, self.kill, self.failing = 0.0, 0.0, None
+
+    def turn(self) -> None:
+        self.rate, self.failing = self.chance.choice(RATES), self.chance.choice(FAILING)
+
+    def sound(self) -> None:
+        self.rate = self.kill = 0.0
+
+    def call(self, name: str, real: Callable[..., Any]) -> Callable[..., Any]:
+        def replaced(*arguments: Any, **named: Any) -> Any:
+            if self.chance.random() < self.kill:
+                self.half(name, real, arguments, named)
+                raise Killed
+            fails = self.failing is None or name in self.failing
+            if fails and self.chance.random() < self.rate:
+                if name == "write" and self.chance.random() < 0.5 and len(arguments[1]) > 1:
+                    return real(arguments[0], bytes(arguments[1])[: self.chance.randrange(1, len(arguments[1]))])
+                if name == "close":
+                    real(*arguments)
+                raise OSError(errno.EIO, "for the test")
+            return real(*arguments, **named)
+        return replaced
+
+    def half(self, name: str, real: Callable[..., Any], arguments: Any, named: Any) -> None:
+        """What has become of the call in which the process died."""
+        if name == "write":
+            real(arguments[0], bytes(arguments[1])[: self.chance.randrange(len(arguments[1]) + 1)])
+        elif self.chance.random() < 0.5:
+            real(*arguments, **named)
+
+
+class Model:
+    """What clients were told, over several lives of one folder."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        self.folder, self.chance = folder, random.Random(seed)
+        self.names = (f"m{n}" for n in itertools.count())
+        self.taken: list[str] = []
+        self.promised: set[str] = set()
+        self.refused: set[str] = set()
+        self.over: set[str] = set()
+
+    def check(self, store: Store) -> None:
+        assert not store.found.damaged
+        assert not self.refused & store.messages.keys()
+        assert all(store.knows(name) for name in self.promised)
+        held = self.promised - self.over
+        assert held <= store.messages.keys()
+        assert not any(m.doubtful for m in store.messages.values())
+        assert [name for name in store.messages if name in held] == [name for name in self.taken if name in held]
+
+    def round(self, store: Store) -> None:
+        new = [self.take(store) for _ in range(self.chance.choice((0, 0, 1, 3))) if store.has_room(200)]
+        for m in [m for m in store.messages.values() if m.id not in new]:
+            self.go_on(store, m)
+        for name in [name for name in store.owed if store.may_tell(name, 0) and self.chance.random() < 0.3]:
+            store.told(name)
+        if store.flush():
+            self.promised.update(new)
+        else:
+            self.refused.update(new)
+            for name in new:
+                store.forget(name)
+        if self.chance.random() < 0.3:
+            store.retry()
+            store.step()
+
+    def take(self, store: Store) -> str:
+        name, body = next(self.names), b"x" * self.chance.randrange(5, 400)
+        store.take(AcceptedMessage(name, self.chance.choice(CLASSES), 1, 1, "key", None, body))
+        self.taken.append(name)
+        return name
+
+    def go_on(self, store: Store, m: AcceptedMessage) -> None:
+        what = self.chance.random()
+        if what < 0.2:
+            store.attempt(m, m.attempts, 5, "host")
+        elif what < 0.3 and m.out:
+            store.outcome(m, next(iter(m.out)), self.chance.random() < 0.5)
+        elif what < 0.38:
+            store.over(m.id)
+            self.over.add(m.id)
+        elif what < 0.45:
+            store.owe(m.id, "failed", 0)
+            self.over.add(m.id)
+
+
+@pytest.mark.parametrize("first", range(0, SCHEDULES, 50))
+def test_what_was_promised_is_found_and_what_was_refused_is_not(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, first: int) -> None:
+    monkeypatch.setattr(store_module, "LEAST_COMPACT", 3000)
+    monkeypatch.setattr(store_module, "STEP", 800)
+    clock_s = itertools.count(0.0, 0.02)
+    monkeypatch.setattr(store_module.time, "monotonic", lambda: next(clock_s))
+    disk = Disk(random.Random(first))
+    for name in CALLS:
+        monkeypatch.setattr(os, name, disk.call(name, getattr(os, name)))
+    for seed in range(first, first + 50):
+        model = Model(tmp_path / str(seed), seed)
+        disk.chance = model.chance
+        for _ in range(model.chance.randrange(2, 6)):
+            store = Store(model.folder, 3_000_000)
+            model.check(store)
+            try:
+                disk.turn()
+                disk.kill = model.chance.choice(KILLS)
+                store.own()
+                for _ in range(model.chance.randrange(5, 120)):
+                    if model.chance.random() < 0.06:
+                        disk.turn()
+                    model.round(store)
+                if model.chance.random() < 0.5:
+                    store.close()
+            except Killed:
+                pass
+            disk.sound()
