--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -65,6 +65,10 @@
     wanted: bool = True
     starts: int = 0
     crashes: int = 0
+    moves: int = 0
+    """How often discovery has moved for it."""
+    termed_s: float | None = None
+    """When it was told to end; None while it was not."""
     copies: dict[float, Path] = field(default_factory=dict)
 
     @property
@@ -78,6 +82,12 @@
             (self.root / "parts.toml").write_text(self.parts)
         self.tell_shim()
 
+    def reconfigure(self) -> None:
+        """Put the configuration in the old one's place."""
+        spare = self.root / "config.json.new"
+        spare.write_text(json.dumps(self.config))
+        os.replace(spare, self.root / "config.json")
+
     def tell_shim(self) -> None:
         """Say which calls fail from now on, and how far the wall clock is off; while it runs too."""
         Control(self.skew_s, self.failures).write(self.root / "control.json")
@@ -120,7 +130,8 @@
     async def _start(self) -> None:
         self.starts += 1
         self.config["seed"] = f"{self.config['seed'].partition('/')[0]}/{self.starts}"
-        (self.root / "config.json").write_text(json.dumps(self.config))
+        self.termed_s = None
+        self.reconfigure()
         self.process = await self._spawn()
         sockets = int(self.config["limits"]["sockets"])
         with contextlib.suppress(ProcessLookupError):
@@ -147,6 +158,8 @@
     def strike(self, hard: bool = True) -> None:
         """SIGKILL or SIGTERM, now."""
         self.signal(signal.SIGKILL if hard else signal.SIGTERM)
+        if not hard and self.termed_s is None:
+            self.termed_s = asyncio.get_running_loop().time()
         self.record.note("killed" if hard else "termed", node=self.name)
 
     async def end(self, hard: bool, struck: bool = False) -> None:
@@ -156,7 +169,8 @@
             return
         if not struck:
             self.strike(hard)
-        patience = asyncio.get_running_loop().time() + KILL_AFTER_S
+        termed_s = asyncio.get_running_loop().time() if self.termed_s is None else self.termed_s
+        patience = termed_s + KILL_AFTER_S
         while self.process is process:
             if not hard and asyncio.get_running_loop().time() > patience:
                 hard = True
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -70,6 +70,8 @@
     again_s: Span = (0.79, 2.0)
     connections: Count = 8
     """Kept to one forwarder, more when all are busy."""
+    stay: Share = 0.0
+    """Share of the messages that go to a forwarder which is ending, on connections that are still open."""
     first_share: Annotated[float, Meta(ge=0.0, le=0.9)] | None = None
     """Of all messages, the first forwarder gets this share while all are up; its part by chance, if absent."""
 
@@ -90,6 +92,8 @@
     cold_from: Share = 0.18
     fall_times: Positive = 2.5
     fall_s: Positive = 2.0
+    key_rest_s: Duration = 0.0
+    """After a call that may still run the next of its key waits so long."""
     told_share: Share = 0.8
     """Share of the refusals above the limit that tell a wait."""
     wait_s: Span = (0.7, 2.0)
@@ -122,6 +126,8 @@
         "errors",
         "clock",
         "crowd",
+        "reload",
+        "signals",
     ]
     share: Share | None = None
     """Of the forwarders (or the endpoints, for outage, limit, drain, replace)."""
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -14,7 +14,7 @@
 from typing import Literal
 
 from lab import run
-from lab.scenario import Endpoints, Fault, Fleet, Limits, Load, Scenario, Time
+from lab.scenario import Endpoints, Fault, Fleet, Front, Limits, Load, Scenario, Time
 
 FAULTS = (8, 14)
 """How many a schedule has."""
@@ -31,8 +31,13 @@
     "connect": ("EADDRNOTAVAIL", "ENETUNREACH", "ETIMEDOUT"),
     "recv": ("ETIMEDOUT", "EHOSTUNREACH"),
     "send": ("ETIMEDOUT", "EHOSTUNREACH"),
+    "client-recv": ("ENOBUFS", "ENOMEM"),
+    "client-send": ("ENOBUFS", "ENOMEM"),
     "short": ("EIO",),
 }
+KEY_REST_S = 1.0
+FROM_THE_START = 0.15
+"""Share of the schedules in which writes fail from the beginning."""
 TROUBLE = re.compile(r"violation: |Traceback|was left without an end|, \d+ times so far")
 """What a log may not have."""
 MOST_LINES = 5
@@ -64,6 +69,15 @@
     return Fault(at_s=at_s, kind="term", share=chance.uniform(0.1, 0.4), back_s=chance.uniform(0.2, 1.0))
 
 
+def _signals(chance: random.Random, at_s: float) -> Fault:
+    """SIGHUP, SIGTERM, SIGHUP, twice, with new configurations; SIGKILL at the page's earliest."""
+    return Fault(at_s=at_s, kind="signals", share=chance.uniform(0.1, 0.4), back_s=chance.uniform(0.2, 1.0))
+
+
+def _reload(chance: random.Random, at_s: float) -> Fault:
+    return Fault(at_s=at_s, kind="reload", share=chance.uniform(0.3, 1.0))
+
+
 def _upgrade(chance: random.Random, at_s: float) -> Fault:
     return Fault(at_s=at_s, kind="upgrade", share=chance.uniform(0.1, 0.3))
 
@@ -172,6 +186,10 @@
     _kill,
     _kill,
     _term,
+    _signals,
+    _signals,
+    _reload,
+    _upgrade,
     _upgrade,
     _stop,
     _file_errors,
@@ -196,6 +214,8 @@
         (chance.choice(KINDS)(chance, chance.uniform(FIRST_S, LAST_S)) for _ in range(chance.randint(*FAULTS))),
         key=lambda fault: fault.at_s,
     )
+    if chance.random() < FROM_THE_START:
+        faults.insert(0, _file_errors(chance, 0.0))
     return Scenario(
         f"soak-{seed}",
         seed=seed,
@@ -203,7 +223,8 @@
         time=Time(warm_s=1.0, load_s=LOAD_S, drain_s=DRAIN_S),
         faults=tuple(faults),
         load=Load(per_node_s=chance.uniform(2.0, 5.0), of_limits=chance.uniform(0.6, 1.2), keys=60),
-        endpoints=Endpoints(told_share=0.8),
+        front=Front(stay=0.15),
+        endpoints=Endpoints(told_share=0.8, key_rest_s=KEY_REST_S),
         limits=Limits(late_ms=400.0),
     )
 
--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -12,6 +12,7 @@
 from dataclasses import astuple
 
 from lemonshunt.journal import NewerFormat
+from lemonshunt.net.arrival import event_loop
 from lemonshunt.net.config import Config, ConfigError, load
 from lemonshunt.net.control import Control
 from lemonshunt.net.engine import Engine, Maker
@@ -91,7 +92,8 @@
         print(f"lemonshunt: {error}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(config, parts))
+        with asyncio.Runner(loop_factory=event_loop) as runner:
+            runner.run(serve(config, parts))
     except (OSError, NewerFormat, ForeignState) as error:
         print(f"lemonshunt: cannot serve: {error}", file=sys.stderr)
         return 1
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -343,6 +343,10 @@
         self.frozen = self.closed = True
         for part in self.parts:
             self.supervisor.guard(part.name, part.cut)
+        try:
+            await self.server.finish()
+        except Exception as error:
+            self.supervisor.failed("answers at the end", error)
         for name, close in (
             ("server", self.server.close),
             ("control", self.control.close),
@@ -508,7 +512,8 @@
             return
         held = len(self.store.messages) + len(self.arriving)
         size = len(handed.body) + sum(len(h.body) for h, _ in self.arriving.values())
-        if self.frozen or held >= self.config.settings.max_open or not self.store.has_room(size):
+        room = self.store.has_room(size) and self.clock.kept  # without its anchor a restart would not know their time
+        if self.frozen or held >= self.config.settings.max_open or not room:
             if self.clock() - self.full_us > FULL_LOG_US and not self.frozen:
                 self.full_us = self.clock()
                 log.warning("full: %d messages held; new ones are turned away", held)
@@ -843,6 +848,10 @@
             return len(fds) - 1
 
         pool, connections = self.pool.hand_over()
+        for door in self.server.doors:
+            door.answer_waiting()
+        if self.arriving or self.events:
+            self.round()
         doors = [(door, told) for door in self.server.doors if (told := door.hand_over()) is not None]
         doors.sort(key=lambda d: (not d[0].idle(), d[0].used_us), reverse=True)
         # While both have them they count twice: what is idle and too many ends with this process.
--- a/lemonshunt/net/lease.py
+++ b/lemonshunt/net/lease.py
@@ -20,6 +20,7 @@
 FILE = "lease"
 RENEW_US = 500_000
 """An end that is so much later than the one in the file is written; an earlier one at once."""
+BOOT_ID_READS, BOOT_ID_PAUSE_S = 5, 0.02
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 log = logging.getLogger("lemonshunt.lease")
 
@@ -30,11 +31,16 @@
 
 
 def boot_id() -> str:
-    """Empty where the machine does not tell: then no lease outlasts a process."""
-    try:
-        return BOOT_ID.read_text().strip()
-    except OSError:
-        return ""
+    """Empty where the machine does not tell: then no lease outlasts a process. A read that fails for a moment is made
+    again: another answer than the last would stand for another boot."""
+    for _ in range(BOOT_ID_READS):
+        try:
+            return BOOT_ID.read_text().strip()
+        except FileNotFoundError:
+            break
+        except OSError:
+            time.sleep(BOOT_ID_PAUSE_S)
+    return ""
 
 
 class Lease:
--- a/lemonshunt/net/listen.py
+++ b/lemonshunt/net/listen.py
@@ -9,7 +9,9 @@
 import socket
 import time
 from collections.abc import Callable, Iterable
+from typing import Protocol, runtime_checkable
 
+from lemonshunt.net.arrival import PatientSocket, waited_us
 from lemonshunt.net.config import Address
 
 BIND_S = 5.0
@@ -81,6 +83,13 @@
     return BURST
 
 
+@runtime_checkable
+class Waited(Protocol):
+    """What wants to know how long its connection may have waited before it was accepted."""
+
+    def waited(self, us: int) -> None: ...
+
+
 class Listener:
     """Accepts connections. `room` says how many more there may be now; `short` hears that descriptors or memory for
     another are not to be had, so that its owner can give some back."""
@@ -94,7 +103,8 @@
         short: Callable[[OSError], None] | None = None,
     ) -> None:
         self.sock, self.protocol, self.room, self.short = sock, protocol, room, short
-        self.coming: dict[socket.socket, asyncio.Task[None]] = {}  # taken, with no protocol yet
+        self.coming: dict[PatientSocket, asyncio.Task[None]] = {}  # taken, with no protocol yet
+        self.paused_s: float | None = None  # since when accepting rests
         self.sock.setblocking(False)
         self.sock.listen(backlog)
         self.resume()
@@ -107,8 +117,15 @@
         """Connections wait in the kernel meanwhile."""
         loop = asyncio.get_running_loop()
         loop.remove_reader(self.sock)
+        if self.paused_s is None:
+            self.paused_s = loop.time()
         loop.call_later(pause_s, self.resume)
 
+    def waited_us(self) -> int:
+        """How long the connections that are accepted now may have waited."""
+        resting_s = 0.0 if self.paused_s is None else asyncio.get_running_loop().time() - self.paused_s
+        return max(waited_us(), int(resting_s * 1_000_000))
+
     def accept(self) -> None:
         room = self.room()
         if room <= 0:
@@ -116,14 +133,17 @@
             return
         for _ in range(min(BURST, room)):
             try:
-                conn, _ = self.sock.accept()
+                accepted, _ = self.sock.accept()
             except BlockingIOError:
+                self.paused_s = None
                 return
             except OSError as error:
                 if error.errno in OF_ONE_CONNECTION:
                     continue
                 self.failed(error)
                 return
+            conn = PatientSocket(fileno=accepted.detach())
+            conn.waited_us = self.waited_us()
             conn.setblocking(False)
             self.coming[conn] = asyncio.get_running_loop().create_task(self.attach(conn))
 
@@ -135,9 +155,11 @@
             log.error("cannot accept: %s", error)
         self.pause(PAUSE_S)
 
-    async def attach(self, conn: socket.socket) -> None:
+    async def attach(self, conn: PatientSocket) -> None:
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(self.protocol, conn)
+            _, protocol = await asyncio.get_running_loop().connect_accepted_socket(self.protocol, conn)
+            if isinstance(protocol, Waited):
+                protocol.waited(conn.waited_us)
         except OSError as error:  # it has gone already
             log.info("a connection was lost as it was taken on: %s", error)
             conn.close()
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -17,6 +17,7 @@
 import httptools
 
 from lemonshunt import interface as i
+from lemonshunt.net.arrival import waited_us
 from lemonshunt.net.http import MOST_BODY, destination
 from lemonshunt.net.listen import Listener, descriptor, fileno, unread
 from lemonshunt.net.reasons import Reasons, Subject
@@ -25,12 +26,14 @@
 MOST_HEAD = 16 * 1024
 MOST_READ = 16 * 1024  # read at once from one client: what it has sent besides must not hold up the others
 MOST_WAITING = 8  # requests read ahead on one connection before reading stops
+CLIENT_PATIENCE_US = 400_000  # a client waits so long for an answer, and then closes its connection (PROTOCOL)
 STALLED_US = 2_000_000  # no request for so long after connecting, or one half read: a peer is told within 3 s
 OVERSHOOT = 16  # connections over the bound for a moment: a new one is accepted before it costs another
 SHORT_CLOSES = 8  # connections closed at once where the process is short of descriptors
 NEW_US = 500_000  # a connection without a request yet is new for so long
 SWEEP_S = 0.25
 LINGER_S = 1.0
+FLUSH_S, FLUSH_STEP_S = 0.2, 0.01  # answers that have not left as the process ends have so long, looked at so often
 BACKLOG = 512
 ONLY_ONCE = frozenset({"x-correlation-id", "x-time-left", "x-addressing", "x-session-key", "idempotency-key"})
 log = logging.getLogger("lemonshunt.server")
@@ -132,7 +135,9 @@
         self.waiting: deque[Request] = deque()
         self.busy: Request | None = None
         self.left: Callable[[], None] | None = None
-        self.made_us = self.used_us = server.clock()
+        self.made_us = self.used_us = self.arrived_us = server.clock()
+        self.attached_us = self.unread_since_us = self.made_us
+        """Since when the loop watches it, and since when something may lie unread that it has not reported."""
         self.asked = self.broken = self.ended = self.full = False  # full: it does not read what it is answered
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -146,6 +151,20 @@
             if self.reading is not None:
                 self.reading.came_us = self.told["came_us"]
             self.used_us = self.told["used_us"]
+            self.unread_since_us = self.told.get("handed_us", self.attached_us)
+
+    def waited(self, us: int) -> None:
+        """So long it may have waited to be accepted, and its first request with it; no client waits longer than its
+        patience, so what is left open now is no older than that."""
+        self.unread_since_us = self.attached_us - min(us, CLIENT_PATIENCE_US)
+
+    def arrival(self) -> int:
+        """When what is read now may have come, at the earliest."""
+        at_us = self.used_us - waited_us()
+        if at_us <= self.attached_us or self.unread_since_us > self.attached_us:
+            at_us = min(at_us, self.unread_since_us)
+        self.unread_since_us = self.attached_us
+        return at_us
 
     def hand_over(self) -> dict[str, Any] | None:
         """What another process needs to go on with this connection; None where it cannot."""
@@ -166,6 +185,7 @@
             "made_us": self.made_us,
             "used_us": self.used_us,
             "asked": self.asked,
+            "handed_us": self.server.clock(),
             "came_us": came_us,
             "raw": base64.b64encode(self.raw).decode(),
         }
@@ -199,6 +219,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.used_us = self.server.clock()
+        self.arrived_us = self.arrival()
         if self.broken:
             return
         fresh, self.shared = self.reading is None, False
@@ -225,7 +246,7 @@
     # Called by the parser
 
     def on_message_begin(self) -> None:
-        self.reading, self.head = Request(self.used_us), 0
+        self.reading, self.head = Request(self.arrived_us), 0
 
     def on_url(self, url: bytes) -> None:
         self.grow(len(url))
@@ -285,6 +306,8 @@
             self.server.handle(self, self.busy)
         if self.transport is not None and not self.transport.is_closing():
             if self.full or len(self.waiting) >= MOST_WAITING:
+                if self.transport.is_reading():
+                    self.unread_since_us = self.server.clock()
                 self.transport.pause_reading()
             elif not self.transport.is_reading():
                 self.transport.resume_reading()
@@ -317,6 +340,11 @@
         elif not self.ended:
             asyncio.get_running_loop().call_soon(self.next)
 
+    def answer_waiting(self) -> None:
+        """Go on with what was read already, without waiting for the loop's next turn."""
+        while self.busy is None and self.waiting and not self.full:
+            self.next()
+
     def idle(self) -> bool:
         return self.busy is None and self.reading is None and not self.waiting
 
@@ -507,6 +535,14 @@
         for door in [door for door in free if door not in unread]:
             door.close("sent away between requests")
 
+    async def finish(self) -> None:
+        """Before the end: requests that were read are answered, and answers have a moment to leave."""
+        for door in list(self.doors):
+            door.answer_waiting()
+        patience_s = asyncio.get_running_loop().time() + FLUSH_S
+        while any(door.unsent() for door in self.doors) and asyncio.get_running_loop().time() < patience_s:
+            await asyncio.sleep(FLUSH_STEP_S)
+
     def close(self) -> None:
         self.ended = True
         if self.listener is not None:
--- a/lemonshunt/net/streaming/part.py
+++ b/lemonshunt/net/streaming/part.py
@@ -13,6 +13,7 @@
 
 from lemonshunt import interface as i
 from lemonshunt.interface import Outcome
+from lemonshunt.net.arrival import PatientSocket
 from lemonshunt.net.config import Address, Config
 from lemonshunt.net.control import Calls, alone
 from lemonshunt.net.engine import Engine
@@ -61,7 +62,7 @@
         self.streaming = streaming
         super().__init__(sock, BACKLOG, asyncio.Protocol, lambda: SPARE_SOCKETS // 2)
 
-    async def attach(self, conn: socket.socket) -> None:
+    async def attach(self, conn: PatientSocket) -> None:
         try:
             await self.streaming.visited(conn)
         finally:
--- a/tests/test_incident_lost_and_order.py
+++ b/tests/test_incident_lost_and_order.py
@@ -7,12 +7,18 @@
 
 import asyncio
 import json
+import signal
 from pathlib import Path
 
+import pytest
+
 from lab.shim import Failure
-from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Node, Platform, Request, always
+from lemonshunt import interface as i
+from lemonshunt.net.arrival import earliest_ns
+from tests.scripts import S, ask, end, sends, started
+from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Node, Platform, Request, always, message
 from tests.test_faults import LARGE, answers, shimmed
-from tests.test_node import folder_nodes, ids, play, target
+from tests.test_node import folder_nodes, ids, node_on, play, target
 
 KEY_REST_S = 3.0
 
@@ -64,3 +70,90 @@
                 await asyncio.sleep(0.02)
         assert came_s["second"] - came_s["first"] >= KEY_REST_S
     play(scene, tmp_path)
+
+
+GARBAGE = ("x0=nan,x1=nan", "x0=inf,x1=5", "x0=0.5,x1=-3", "x0=1e308,x1=1e308")
+
+
+@pytest.mark.parametrize("report", GARBAGE)
+def test_a_garbled_report_costs_nothing_else(tmp_path: Path, report: str) -> None:
+    """One endpoint's report of nan made every later round fail, and then the loop stand still for ever."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        garbled = await target(platform, always(Answer(200, {"X-Backend-Load": report})))
+        other = await target(platform, always(OK), "s2", block=8)
+        node = await node_on(folder, platform)
+        for name in ("a", "b", "c"):
+            assert (await node.hand_in(name, "status"))[0] == 202
+            assert (await node.hand_in(f"{name}-other", "status", dest=8))[0] == 202
+        await asyncio.gather(garbled.got(3), other.got(3))
+        assert "failures: none" in await node.call(b"RULES\n")
+    play(scene, tmp_path)
+
+
+def test_an_error_in_one_decision_costs_that_step_alone() -> None:
+    dispatcher = started()
+    first, second = sends(dispatcher.handle(0, [ask("a"), ask("b", dest=11)]))
+    broken = end(first, i.Outcome.FULL, wait_us="soon")
+    again = sends(dispatcher.handle(S, [broken, end(second, i.Outcome.DELIVERED)]))
+    assert len(dispatcher.faults) == 1 and [send.message for send in again] == [*dispatcher.messages] == ["a"]
+
+
+def test_a_configuration_that_cannot_be_read_at_sighup_is_read_again(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        node = await node_on(folder, platform)
+        moved = Platform()
+        moved.hosts, moved.seq = platform.hosts, platform.seq
+        await moved.start()
+        node.configure(discovery=f"127.0.0.1:{moved.port}")
+        config, aside = folder / "config.json", folder / "aside.json"
+        config.rename(aside)
+        config.mkdir()  # EISDIR
+        node.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        assert not moved.requests
+        config.rmdir()
+        aside.rename(config)
+        await moved.until(lambda: bool(moved.requests))
+    play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("call", ["client-recv", "client-send"])
+def test_a_passing_shortage_on_a_clients_connection_leaves_no_request_unanswered(tmp_path: Path, call: str) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        node = await shimmed(folder, platform, Failure(call, "ENOBUFS", 0.5))
+        names = [f"m{n}" for n in range(20)]
+        assert set((await answers(node, names)).values()) == {202}
+        await peer.until(lambda: sorted(ids(peer)) == sorted(names))
+    play(scene, tmp_path)
+
+
+def test_time_counts_from_before_a_request_was_read(tmp_path: Path) -> None:
+    """It waits in the kernel while the process stands still, and its time goes on."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(Answer(429, {"X-RateLimit-Wait-Ms": "60000"})))
+        node = await node_on(folder, platform)
+        client = await node.client()
+        assert (await client.hand_in("first", "status"))[0] == 202
+        node.process.send_signal(signal.SIGSTOP)
+        handed_s = asyncio.get_running_loop().time()
+        client.writer.write(message("late", "status", left="1.2"))
+        await asyncio.sleep(0.6)
+        node.process.send_signal(signal.SIGCONT)
+        status, _ = await client.answer()
+        if status == 202:
+            await platform.notice("late")
+        assert status in (202, 429) and asyncio.get_running_loop().time() - handed_s < 1.2 + 0.3
+    play(scene, tmp_path)
+
+
+@pytest.mark.parametrize(("began", "before", "returned", "timeout", "earliest"), [
+    (10, 7, 10, 0.1, 7),
+    (10, 7, 60, 0.1, 60),
+    (10, 7, 700, 0.1, 10),
+    (10, 7, 700, None, 700),
+], ids=["at once", "it slept", "it overslept", "for as long as it takes"])
+def test_what_a_poll_reports_came_no_sooner(
+        began: int, before: int, returned: int, timeout: float | None, earliest: int) -> None:
+    ms = 1_000_000
+    assert earliest_ns(began * ms, before * ms, returned * ms, timeout) == earliest * ms
--- /dev/null
+++ b/tests/test_order_model.py
@@ -0,0 +1,109 @@
+"""Order of keys, and no message forwarded after its end, over any sequence of refusals, calls that this machine cannot
+make, notices, failing writes and restarts: the real engine against what its clients and the platform know."""
+
+from __future__ import annotations
+
+import errno
+import os
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import hypothesis.strategies as st
+from hypothesis import settings as profile
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lab.single import CLASSES, KEY_REST_US, SECOND, Single
+from lemonshunt import interface as i
+
+MS = 1000
+KEYS = ("k1", "k2")
+OUTCOMES = (i.Outcome.DELIVERED, i.Outcome.FAILED, i.Outcome.FULL, i.Outcome.TIMED_OUT, i.Outcome.RESET,
+            i.Outcome.NO_CONNECTION, i.Outcome.UNREADABLE, i.Outcome.HELD_BACK)
+FILE_CALLS = ("write", "pwrite", "open", "ftruncate", "replace")
+
+
+class KeyOrder(RuleBasedStateMachine):
+    """Each rule is one thing that happens; the forwarder looks after each."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.folder = tempfile.TemporaryDirectory()
+        self.single = Single(Path(self.folder.name))
+        self.names = 0
+        self.failing: tuple[str, ...] = ()
+        self.real = {name: getattr(os, name) for name in FILE_CALLS}
+        for name, call in self.real.items():
+            setattr(os, name, self.may_fail(name, call))
+
+    def may_fail(self, name: str, call: Callable[..., Any]) -> Callable[..., Any]:
+        def replaced(*arguments: Any, **named: Any) -> Any:
+            reads = name == "open" and not arguments[1] & os.O_RDWR
+            if name in self.failing and not reads:
+                raise OSError(errno.EIO, "for the test")
+            return call(*arguments, **named)
+        return replaced
+
+    def teardown(self) -> None:
+        for name, call in self.real.items():
+            setattr(os, name, call)
+        self.single.close()
+        self.folder.cleanup()
+
+    @rule(key=st.sampled_from(KEYS), cls=st.sampled_from([*CLASSES]), left_us=st.sampled_from([SECOND, 6 * SECOND]))
+    def hand_in(self, key: str, cls: str, left_us: int) -> None:
+        if key not in self.single.busy:
+            self.names += 1
+            self.single.hand_in(f"m{self.names}", cls, key, left_us)
+
+    @rule(us=st.sampled_from([10 * MS, 60 * MS, KEY_REST_US // 2]))
+    def pass_time(self, us: int) -> None:
+        self.single.pass_time(us)
+
+    @precondition(lambda self: self.single.calls.calls)
+    @rule(data=st.data(), outcome=st.sampled_from(OUTCOMES))
+    def end_a_call(self, data: st.DataObject, outcome: i.Outcome) -> None:
+        names = sorted({name for name, _ in self.single.calls.calls})
+        self.single.calls.end(data.draw(st.sampled_from(names)), outcome)
+        self.single.pass_time(10 * MS)
+
+    @rule(heard=st.booleans())
+    def notify(self, heard: bool) -> None:
+        self.single.notify(heard)
+
+    @rule(calls=st.sampled_from([(), (), FILE_CALLS, ("write",), ("pwrite",), ("replace",), ("open",)]))
+    def fail(self, calls: tuple[str, ...]) -> None:
+        self.failing = calls
+
+    @rule(down_us=st.sampled_from([100 * MS, SECOND]))
+    def restart(self, down_us: int) -> None:
+        self.single.kill()
+        self.single.now_us += down_us
+        self.single.start()
+
+    @invariant()
+    def violates_none_of_its_own_rules(self) -> None:
+        assert "violations: none" in self.single.engine.tell_rules()
+
+
+KeyOrder.TestCase.settings = profile(derandomize=True, max_examples=60, stateful_step_count=60, deadline=None)
+test_keys_keep_their_order = KeyOrder.TestCase
+
+
+def test_all_that_was_taken_on_has_its_end(tmp_path: Path) -> None:
+    """The model's own check: what it plays comes to an end, and some of it by each way."""
+    single = Single(tmp_path)
+    for n in range(20):
+        single.hand_in(f"m{n}", [*CLASSES][n % 3], f"k{n % 5}", 2 * SECOND)
+        single.pass_time(20 * MS)
+        if n == 10:
+            single.kill()
+            single.start()
+        for name in sorted({name for name, _ in single.calls.calls})[:1]:
+            single.calls.end(name, OUTCOMES[n % len(OUTCOMES)])
+    for _ in range(300):
+        single.pass_time(20 * MS)
+        single.notify(heard=True)
+    assert not single.rules.unended() and any(fate.delivered for fate in single.rules.fates.values())
+    single.close()
