Give the hand-over a module of its own

Change: net/handover.py, short functions, no behaviour; requests that were read are answered before the description is made.

--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import json
 import logging
 import os
@@ -15,8 +14,8 @@
 import resource
 import socket
 import time
-from collections.abc import Awaitable, Callable, Iterable, Sequence
-from dataclasses import asdict, astuple, replace
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import astuple, replace
 from functools import partial
 from http import HTTPStatus
 from typing import Protocol
@@ -24,15 +23,15 @@
 from lemonshunt import interface as i
 from lemonshunt.choice import Dispatcher
 from lemonshunt.journal import goes_on
-from lemonshunt.net import identity
-from lemonshunt.net.client import Call, Item, Pool, Result
+from lemonshunt.net import handover, identity
+from lemonshunt.net.client import Pool
 from lemonshunt.net.clock import AnchoredClock
 from lemonshunt.net.config import Address, Config, ConfigError, ConfigUnreadable, HostList, host, load
 from lemonshunt.net.control import Calls, Control, Refused, alone
 from lemonshunt.net.discovery import FIRST_LIST_US, Notices, Watch
 from lemonshunt.net.drain import LATE_S, Drain
 from lemonshunt.net.effects import Departures, Effects
-from lemonshunt.net.listen import bind, fileno
+from lemonshunt.net.listen import bind
 from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.rules import Rules
 from lemonshunt.net.server import OVERSHOOT, ClientConnection, Server, Submission, gone
@@ -50,11 +49,9 @@
 LAG_S = 0.1  # the loop stood still for so long: worth a line
 LAG_LOG_S = 10.0
 TICK_S = 0.1
-SPARE_SOCKETS = 40  # descriptors of two processes that are no connections
 STOP_STEP_S = 0.05
 RELOAD_AGAIN_S = 0.2  # a configuration that cannot be read is tried again after this
 CONTROL_AGAIN_S = 1.0  # the operators' address is tried again after this
-OLD_CONTROL_S = 10.0  # after an upgrade calls are answered at the old control address too
 REASONS_LOG_S = 1.0  # between two reports of why connections were closed, calls retried, requests refused
 STATE_LOG_S = 5.0  # between two lines that tell how the forwarder stands
 MOST_PUT_OFF = 8  # turns of the loop that a round waits for a list that is being read
@@ -168,14 +165,14 @@
         ownership: Ownership,
         control: Control,
         clients: socket.socket,
-        handover: HandoverState | None = None,
+        handed: HandoverState | None = None,
         parts: Sequence[Maker] = (),
         clock: AnchoredClock | None = None,
     ) -> None:
         """Reads the journal and writes nothing: until it runs, another process may own all of it. Raises OSError,
         and NewerFormat or ForeignState where the folder is not for this program or this forwarder."""
-        self.config, self.ownership, self.clients, self.handover = config, ownership, clients, handover
-        told = handover.told if handover is not None else {}
+        self.config, self.ownership, self.clients, self.handover = config, ownership, clients, handed
+        told = handed.told if handed is not None else {}
         self.clock = clock or AnchoredClock(config.state, told.get("clock"))
         s = on_sockets(config.settings)
         self.identity, self.start = identity.claim(config.state, config.name)
@@ -243,7 +240,7 @@
         self.done = asyncio.Event()
         self.syncer: Syncer | None = None  # set by a part: what a record precedes waits until that is synced
         self.parts = [make(self) for make in parts]
-        self.watch = Watch(config.discovery, self.recover(), self.listed, handover is not None, self.supervisor)
+        self.watch = Watch(config.discovery, self.recover(), self.listed, handed is not None, self.supervisor)
         self.life = Life(self.clock(), self.store.messages)
 
     # Starting
@@ -320,12 +317,12 @@
             self.pool.most,
         )
         if self.handover is not None:
-            await self.adopt_calls(self.handover)
+            await handover.adopt_calls(self, self.handover)
         self.round()
         self.notices.kick()
         self.control.calls = self.calls  # operators who are handed over have called a forwarder that serves
         if self.handover is not None:
-            await self.adopt_clients(self.handover)
+            await handover.adopt_clients(self, self.handover)
         self.server.listen(self.clients)
         for part in self.parts:
             await part.open()
@@ -833,115 +830,29 @@
         """Another process takes over. The loop stands still here, so all that arrives waits for its owner."""
         if self.leaving_s or self.closed:
             return
-        self.pool.settle()
-        self.round()
-        if self.arriving or self.events:
-            self.round()  # what the first one brought about
+        self.settle()
         if self.syncer is not None and not self.syncer.barrier():
             return  # calls and answers wait here: they cannot be handed over
         self.store.retry()
         if self.rules.may_hand_over() is not None:
             return  # who asks goes by the journal: it has to have all that is here, and asks again
-        fds: list[int] = []
-
-        def put(fd: int) -> int:
-            fds.append(fd)
-            return len(fds) - 1
-
-        pool, connections = self.pool.hand_over()
-        for door in self.server.doors:
-            door.answer_waiting()
-        if self.arriving or self.events:
-            self.round()
-        doors = [(door, told) for door in self.server.doors if (told := door.hand_over()) is not None]
-        doors.sort(key=lambda d: (not d[0].idle(), d[0].used_us), reverse=True)
-        # While both have them they count twice: what is idle and too many ends with this process.
-        room = self.config.sockets - len(self.server.doors) - len(self.pool.all) - SPARE_SOCKETS
-        clients = self.server.listener
-        assert clients is not None
-        controls = [listener for where, listener in self.control.listeners.items() if where == self.config.control]
-        known = {
-            fileno(transport)
-            for transport in (*(d.transport for d in self.server.doors), *(c.transport for c in self.control.callers))
-        }
-        new = [conn.fileno() for conn in clients.coming if conn.fileno() not in known]
-        calling = [conn.fileno() for listener in controls for conn in listener.coming if conn.fileno() not in known]
-        told = {
-            "clock": self.clock.base,
-            "numbers": self.targets.numbers,
-            "destinations": [*self.targets.destinations],
-            "memory": asdict(self.dispatcher.memory()),
-            "leaving": self.drain.on,
-            "clients": put(clients.sock.fileno()),
-            "controls": [put(listener.sock.fileno()) for listener in controls],
-            "callers": [
-                {"fd": put(fileno(c.transport)), "line": base64.b64encode(c.line).decode()}
-                for c in self.control.callers
-                if not c.answered
-            ]
-            + [{"fd": put(fd), "line": ""} for fd in calling],
-            "connections": [put(fileno(c.transport)) for c in connections],
-            "pool": pool,
-            "doors": [told | {"fd": put(fileno(door.transport))} for door, told in doors[: max(0, room)]]
-            + [{"fd": put(fd)} for fd in new],
-        }
-        if not self.ownership.give(link, told, fds):
+        told, descriptors = handover.describe(self)
+        if not self.ownership.give(link, told, descriptors):
             log.warning("the process that was to take over did not; going on")
             return
         for part in self.parts:
             part.cut()
-        log.info(
-            "handed over: %d messages, %d calls out, %d clients", len(self.store.messages), self.pool.out, len(doors)
-        )
+        log.info("handed over: %d messages, %d calls out", len(self.store.messages), self.pool.out)
         os._exit(0)  # not one callback more: it would read what is meant for the other process
 
-    async def adopt_calls(self, handover: HandoverState) -> None:
-        """Go on with the calls and connections to targets of the process before."""
-        pool, numbers = handover.told["pool"], handover.told["connections"]
-        self.pool.waits = {(destination, which): end for destination, which, end in pool["waits"]}
-        for c in pool["calls"]:
-            items = [
-                Item(name, number, m.key, m.body, until_us, m.due_us)
-                for name, number, until_us in c["items"]
-                if (m := self.store.messages.get(name)) is not None
-            ]
-            if not items:
-                continue  # its connection is closed with all that is not taken out
-            sock = handover.socket(numbers[c["connection"]]) if c["connection"] >= 0 else None
-            destination, which = c["place"]
-            call = Call(c["target"], (destination, which), c["sent_us"], items, batched=c["batched"])
-            try:
-                await self.pool.adopt(call, sock, base64.b64decode(c["seen"]))
-            except OSError as error:  # it was written: its outcome is not known any more
-                self.supervisor.failed("hand-over of a call", error)
-                self.pool.finish(call, Result(i.Outcome.RESET))
-        for c in pool["idle"]:
-            sock = handover.socket(numbers[c["connection"]])
-            await self.adopted("hand-over of a connection", self.pool.adopt_idle(c["target"], sock, c["idle_us"]))
-
-    async def adopted(self, name: str, adopting: Awaitable[None]) -> None:
-        """One connection that cannot be gone on with costs itself alone."""
-        try:
-            await adopting
-        except OSError as error:
-            self.supervisor.failed(name, error)
-
-    async def adopt_clients(self, handover: HandoverState) -> None:
-        """Go on with the clients and operators of the process before."""
-        told = handover.told
-        if told["leaving"]:
-            self.send_away()
-        for door in told["doors"]:
-            sock = handover.socket(door.pop("fd"))
-            await self.adopted("hand-over of a client", self.server.adopt(sock, door))
-        for number in told["controls"]:
-            listener = self.control.listen(handover.socket(number))
-            if listener.where() != self.config.control:
-                asyncio.get_running_loop().call_later(OLD_CONTROL_S, listener.close)
-        for caller in told["callers"]:
-            sock = handover.socket(caller["fd"])
-            await self.adopted("hand-over of an operator", self.control.adopt(sock, base64.b64decode(caller["line"])))
-        handover.close()
+    def settle(self) -> None:
+        """Decide on all that has come until now, so that nothing is under way between two rounds."""
+        self.pool.settle()
+        self.round()
+        for door in self.server.doors:
+            door.answer_waiting()
+        if self.arriving or self.events:
+            self.round()  # what the first one brought about
 
     # Stopping
 
