--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -26,7 +26,8 @@
 POST_S = 0.2  # a post is answered at once, also while discovery is down, and a message without its end is lost 0.3 s
 # after its time: one that gets no answer for so long is made again, on a new connection
 NOTICE_PAUSES_S = (0.05, 0.1, 0.2, 0.4)
-MOST_NOTICES = 500  # lines in one post: the body stays within 64 KiB
+MOST_NOTICES = 500  # lines in one post
+MOST_POST = 60_000  # and its bytes: a body holds no more than 64 KiB
 log = logging.getLogger("lemonshunt.discovery")
 
 
@@ -218,7 +219,7 @@
             await self.wanted.wait()
             self.wanted.clear()
             while owed := list(self.book.owed_ends().items())[:MOST_NOTICES]:
-                body = b"".join(line(*end) for end in owed)
+                body, owed = post_body(owed)
                 try:
                     answer = await self.client.ask("POST", "/v1/notices", POST_S, body)
                     if answer.status != 204:
@@ -233,6 +234,18 @@
                 self.book.acknowledged([name for name, _ in owed])
 
 
+def post_body(owed: list[tuple[str, PendingNotice]]) -> tuple[bytes, list[tuple[str, PendingNotice]]]:
+    """As many lines as one body holds, and the ends that they tell."""
+    lines: list[bytes] = []
+    size = 0
+    for end in owed:
+        size += len(line(*end))
+        if lines and size > MOST_POST:
+            break
+        lines.append(line(*end))
+    return b"".join(lines), owed[: len(lines)]
+
+
 def line(name: str, owed: PendingNotice) -> bytes:
     told: dict[str, str | int] = {"id": name, "state": owed.state}
     if owed.after_ms > 0:
