Take accepted sockets over with what is known of them

Cause: a socket made from a descriptor alone asks the kernel four times what it is, at each accept. Change: family, type and protocol go along; a test for the size of a post.

--- a/lemonshunt/net/listen.py
+++ b/lemonshunt/net/listen.py
@@ -142,7 +142,7 @@
                     continue
                 self.failed(error)
                 return
-            conn = PatientSocket(fileno=accepted.detach())
+            conn = PatientSocket(accepted.family, accepted.type, accepted.proto, accepted.detach())
             conn.waited_us = self.waited_us()
             conn.setblocking(False)
             self.coming[conn] = asyncio.get_running_loop().create_task(self.attach(conn))
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -13,7 +13,8 @@
 from lab.shim import FILE_CALLS, Failure
 from lemonshunt.net.clock import Anchor, base_ns
 from lemonshunt.net.config import Address
-from lemonshunt.net.discovery import Notices
+from lemonshunt.net.discovery import Notices, post_body
+from lemonshunt.net.http import MOST_BODY
 from lemonshunt.net.store import PendingNotice
 from lemonshunt.net.supervise import Supervisor
 from tests.sockets import OK, PATIENCE, Answer, Node, Platform, Request, always
@@ -239,9 +240,13 @@
     asyncio.run(scene())
 
 
-
-
-
+def test_a_post_of_notices_stays_within_what_a_body_may_hold() -> None:
+    owed = [(f"{n:0128d}", PendingNotice("returned", 500, None)) for n in range(500)]
+    left = owed
+    while left:
+        body, told = post_body(left)
+        assert len(body) <= MOST_BODY and len(body.splitlines()) == len(told) > 0
+        left = left[len(told):]
 
 
 def test_nothing_is_handed_over_that_the_journal_lacks(tmp_path: Path) -> None:
