--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -67,6 +67,7 @@
     crashes: int = 0
     moves: int = 0
     """How often discovery has moved for it."""
+    started_s: float = 0.0
     termed_s: float | None = None
     """When it was told to end; None while it was not."""
     copies: dict[float, Path] = field(default_factory=dict)
@@ -130,7 +131,7 @@
     async def _start(self) -> None:
         self.starts += 1
         self.config["seed"] = f"{self.config['seed'].partition('/')[0]}/{self.starts}"
-        self.termed_s = None
+        self.termed_s, self.started_s = None, asyncio.get_running_loop().time()
         self.reconfigure()
         self.process = await self._spawn()
         sockets = int(self.config["limits"]["sockets"])
--- a/lab/run.py
+++ b/lab/run.py
@@ -41,6 +41,8 @@
 REPORT_S = 5.0
 MOVED_CLOSES_S = 1.5
 """Discovery's old address closes its connections so long after a forwarder was told the new one (TERMS)."""
+FIRST_SECOND_S = 1.0
+"""No SIGHUP comes in a program's first second, nor before it is ready (TERMS)."""
 SERIES = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)
 """Signals that come one after the other."""
 SERIES_STEP_S = (0.0, 0.3)
@@ -425,8 +427,9 @@
 
     def reload(self, name: str) -> None:
         node = self.nodes[name]
-        if node.process is None:
-            return
+        ready = self.front.seen[name].up and self.loop.time() - node.started_s >= FIRST_SECOND_S
+        if node.process is None or not ready:
+            return  # the platform sends no SIGHUP then
         link = (name, "discovery")
         old, open_then = self.net.listeners[link], list(self.net.open.get(link, ()))
         node.moves += 1
