Let no failing call on the folder end a process that takes over

Change: quiet closes; a take-over that cannot be made is tried again, and the process before goes on; the lock is opened again for 2 s.

--- a/lemonshunt/net/lease.py
+++ b/lemonshunt/net/lease.py
@@ -17,6 +17,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from lemonshunt.net.files import close
+
 FILE = "lease"
 RENEW_US = 500_000
 """An end that is so much later than the one in the file is written; an earlier one at once."""
@@ -83,5 +85,5 @@
 
     def close(self) -> None:
         if self.fd >= 0:
-            os.close(self.fd)
+            close(self.fd)
             self.fd = -1
--- a/lemonshunt/net/upgrade.py
+++ b/lemonshunt/net/upgrade.py
@@ -21,11 +21,13 @@
 import os
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, TypeVar
 
 from lemonshunt import interface as i
+from lemonshunt.net.files import close
 
 ASK, TAKEN, YOURS = b"take over 1\n", b"taken\n", b"yours\n"
 HEAD = struct.Struct("<II")  # bytes of JSON, descriptors
@@ -33,6 +35,7 @@
 PATIENCE_S = 0.8  # either side waits so long for the other; the old one stands still meanwhile
 HELLO_S = 0.2  # who connects asks at once
 RETRY_S = 0.1
+LOCK_PATIENCE_S = 2.0  # a lock that cannot be opened is tried again for so long
 Made = TypeVar("Made")
 log = logging.getLogger("lemonshunt.upgrade")
 
@@ -59,7 +62,7 @@
         """Close what nobody has taken out."""
         self.link.close()
         while self.fds:
-            os.close(self.fds.popitem()[1])
+            close(self.fds.popitem()[1])
 
 
 def memory(told: dict[str, Any]) -> i.Memory:
@@ -89,19 +92,37 @@
     """The lock and the socket of one folder."""
 
     def __init__(self, folder: Path) -> None:
-        self.fd = self.folder = -1
-        try:
-            folder.mkdir(parents=True, exist_ok=True)
-            self.fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-            self.folder = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-        except OSError as error:
-            # Whoever else serves here has the listening address, so that this process will not come to serve.
-            log.error("the lock cannot be had, going on without it: %s", error)
-        # By way of the descriptor, since the path of a Unix socket may not be longer than 107 bytes.
-        self.path = f"/proc/self/fd/{self.folder}/upgrade"
+        self.where, self.fd, self.folder = folder, -1, -1
         self.listener: socket.socket | None = None
         self.why = ""
 
+    @property
+    def path(self) -> str:
+        """Of the socket, by way of the folder's descriptor: a Unix socket's path has 107 bytes at most."""
+        return f"/proc/self/fd/{self.folder}/upgrade"
+
+    def open(self) -> OSError | None:
+        """Open folder and lock, if they are not yet. Why that failed, if it did."""
+        try:
+            self.where.mkdir(parents=True, exist_ok=True)
+            if self.folder < 0:
+                self.folder = os.open(self.where, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+            if self.fd < 0:
+                self.fd = os.open(self.where / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        except OSError as error:
+            return error
+        return None
+
+    async def open_patiently(self) -> None:
+        """A failure may be over in a moment: without the lock the process before cannot be told from none."""
+        patience_s = time.monotonic() + LOCK_PATIENCE_S
+        while (error := self.open()) is not None:
+            if time.monotonic() > patience_s:
+                # Whoever else serves here has the listening address, so that this process will not come to serve.
+                log.error("the lock cannot be had, going on without it: %s", error)
+                return
+            await asyncio.sleep(RETRY_S)
+
     def free(self) -> bool:
         """Take the lock if nobody has it. Where locks are refused, nobody can have it."""
         if self.fd < 0:
@@ -117,22 +138,36 @@
     async def obtain(self, make: Callable[[HandoverState | None], Awaitable[Made]]) -> Made:
         """Become the owner: alone, or by taking over. `make` builds what will serve, and may be called again
         where a take-over came to nothing."""
+        await self.open_patiently()
         while True:
             if self.free():
                 return await make(None)
             handover = self.ask()
             if handover is not None:
-                made = await make(handover)
-                lock = handover.confirm()
-                if lock >= 0:
-                    handover.link.close()
-                    os.close(self.fd)
-                    self.fd = lock
+                made = await self.taken_over(handover, make)
+                if made is not None:
                     return made
                 handover.close()
                 log.warning("the process before has not handed over; trying again")
             await asyncio.sleep(RETRY_S)
 
+    async def taken_over(
+        self, handover: HandoverState, make: Callable[[HandoverState | None], Awaitable[Made]]
+    ) -> Made | None:
+        """What serves from now on, if that could be made and the process before has let go; it goes on otherwise."""
+        try:
+            made = await make(handover)
+        except OSError as error:
+            log.warning("cannot take over just now: %s", error)
+            return None
+        lock = handover.confirm()
+        if lock < 0:
+            return None
+        handover.link.close()
+        close(self.fd)
+        self.fd = lock
+        return made
+
     def ask(self) -> HandoverState | None:
         """Ask the owner for all that it has; None where it does not answer as it should."""
         fds: list[int] = []
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -282,3 +282,22 @@
         answer_now.set()
         await other.got(1)
     play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("call", ["close", "open"])
+def test_an_upgrade_outlasts_a_failing_call_on_the_folder(tmp_path: Path, call: str) -> None:
+    """Found by the soak: the process that had taken over ended as it closed its own lock, and all went with it."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        node = await shimmed(folder, platform)
+        new = node.beside()
+        folder_nodes[-1].append(new)
+        await node.fail(Failure(call, "EIO"))
+        new.shim = node.shim
+        starting = asyncio.create_task(new.start())
+        await asyncio.sleep(1.0)
+        await node.fail()
+        await starting
+        assert (await new.hand_in("m", "status"))[0] == 202
+        await peer.got(1)
+    play(scene, tmp_path)
