--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -70,6 +70,9 @@
     "given up by its client, so it counts for nothing": [
         ev(0, "handed", "a", due_s=5, state=ONCE, key="k", destination=7, number=0), ev(0.4, "given_up", "a"),
         *called(0.3, "a", 1, 500), *fine("b", 1.0, 2)],
+    "given up, and sent before what was taken on since": [
+        ev(0, "handed", "a", due_s=5, state=ONCE, key="k", destination=7, number=0), ev(0.4, "given_up", "a"),
+        *handed(0.5, "b", number=0), *called(0.6, "a", 1, 503), *called(1.0, "b", 2)],
     "stopped, and as late as that": [*handed(0, "a"), ev(1, "paused"), ev(9, "resumed"),
                                      ev(10, "notice", "a", state="failed"), *LATE],
 }
