--- a/lab/shim.py
+++ b/lab/shim.py
@@ -8,9 +8,9 @@
 
 `clock_s` is added to the wall clock. Calls on files fail only where the file is in the folder STATE, `recv` and `send`
 only on connections that the program made itself, `client-recv` and `client-send` only on those that it accepted: there
-an error that is no passing shortage would be the client's loss. `short` is no
-error: reads, writes and sends then carry a few bytes at a time. Needs no special rights: calls are replaced in the
-interpreter.
+an error that is no passing shortage would be the client's loss. `epoll_ctl` fails where the loop begins to watch a
+descriptor, or watches it for something else; `poll` where a descriptor is looked at. `short` is no error: reads, writes
+and sends then carry a few bytes at a time. Needs no special rights: calls are replaced in the interpreter.
 """
 
 from __future__ import annotations
@@ -22,6 +22,8 @@
 import os
 import random
 import runpy
+import select
+import selectors
 import socket
 import sys
 import time
@@ -34,7 +36,8 @@
 """The control file is looked at this often at most."""
 FILE_CALLS = ("write", "pwrite", "open", "ftruncate", "replace", "unlink", "link", "fdatasync", "fsync", "close")
 SOCKET_CALLS = ("socket", "accept", "connect", "recv", "send", "client-recv", "client-send")
-CALLS = (*FILE_CALLS, *SOCKET_CALLS, "short")
+WATCH_CALLS = ("epoll_ctl", "poll")
+CALLS = (*FILE_CALLS, *SOCKET_CALLS, *WATCH_CALLS, "short")
 MOST_SHORT = 24
 """Bytes that a read or write carries at most while it comes short."""
 
@@ -124,6 +127,8 @@
 
         io.open = builtins.open = open_file
         socket.socket = self.socket_class()  # type: ignore[misc]
+        selectors.EpollSelector._selector_cls = self.epoll_class()  # type: ignore[attr-defined]
+        select.poll = self.poll_class()  # type: ignore[misc]
         real_time_ns = time.time_ns
         time.time_ns = lambda: real_time_ns() + int(self.look().clock_s * 1e9)
         time.time = lambda: time.time_ns() / 1e9
@@ -144,6 +149,42 @@
 
         return replaced
 
+    def epoll_class(self) -> type:
+        shim, real = self, select.epoll
+
+        class Epoll:
+            """One that may fail to watch a descriptor. The real class cannot be derived from."""
+
+            def __init__(self) -> None:
+                self.real = real()
+                self.poll, self.unregister, self.close = self.real.poll, self.real.unregister, self.real.close
+
+            def register(self, fd: int, events: int) -> None:
+                shim.strike("epoll_ctl")
+                self.real.register(fd, events)
+
+            def modify(self, fd: int, events: int) -> None:
+                shim.strike("epoll_ctl")
+                self.real.modify(fd, events)
+
+        return Epoll
+
+    def poll_class(self) -> type:
+        shim, real = self, select.poll
+
+        class Poll:
+            """One that may fail to look. The real class cannot be derived from."""
+
+            def __init__(self) -> None:
+                self.real = real()
+                self.register, self.unregister = self.real.register, self.real.unregister
+
+            def poll(self, timeout_ms: float | None = None) -> list[tuple[int, int]]:
+                shim.strike("poll")
+                return self.real.poll(timeout_ms)
+
+        return Poll
+
     def socket_class(self) -> type[socket.socket]:
         shim = self
 
--- a/tests/test_incident_lost_and_order.py
+++ b/tests/test_incident_lost_and_order.py
@@ -8,6 +8,8 @@
 import asyncio
 import json
 import signal
+import socket
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -168,3 +170,103 @@
         began: int, before: int, returned: int, timeout: float | None, earliest: int) -> None:
     ms = 1_000_000
     assert earliest_ns(began * ms, before * ms, returned * ms, timeout) == earliest * ms
+
+
+SMALL_WINDOW = 4096
+LARGER_THAN_THE_WINDOW = b"x" * 30_000
+
+
+class SlowReader:
+    """An endpoint that takes a few bytes of the first call, and no more until it is told; it answers all others."""
+
+    def __init__(self) -> None:
+        self.first: asyncio.StreamReader | None = None
+        self.answered: list[bytes] = []
+
+    async def start(self) -> SlowReader:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW)
+        sock.bind(("127.0.0.1", 0))
+        self.port = int(sock.getsockname()[1])
+        self.server = await asyncio.start_server(self.serve, sock=sock, limit=SMALL_WINDOW)
+        return self
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.first is None:
+            self.first = reader
+            await asyncio.sleep(3600)
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                self.answered.append(await reader.readuntil(b"\r\n\r\n"))
+                await reader.readexactly(len(LARGER_THAN_THE_WINDOW))
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
+
+    async def rest_of_the_first(self) -> int:
+        """How many bytes of the first call come, up to its end or the end of its connection."""
+        assert self.first is not None
+        size = 0
+        with suppress(ConnectionError):
+            async with asyncio.timeout(PATIENCE):
+                while data := await self.first.read(SMALL_WINDOW):
+                    size += len(data)
+        return size
+
+
+@pytest.mark.parametrize("ends", ["given up", "SIGKILL", "SIGTERM"])
+def test_a_call_that_has_ended_does_not_arrive_later(tmp_path: Path, ends: str) -> None:
+    """`lost` and `order`: it lay in the send buffer, and arrived after its message's end and the next of its key."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        endpoint = await SlowReader().start()
+        platform.host("s1", endpoint.port)
+        node = await node_on(folder, platform)
+        client = await node.client()
+        for name in ("first", "second"):
+            left = "1.0" if name == "first" and ends == "given up" else "50"
+            told = await client.hand_in(name, "turn", left=left, body=LARGER_THAN_THE_WINDOW, X_Session_Key="k")
+            assert told[0] == 202
+        async with asyncio.timeout(PATIENCE):
+            while endpoint.first is None:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)
+        if ends != "given up":
+            await node.restart(signal.Signals[ends])
+        assert (await platform.notice("first"))["state"] == "failed"
+        async with asyncio.timeout(PATIENCE):
+            while not endpoint.answered:
+                await asyncio.sleep(0.01)
+        assert b"second" in endpoint.answered[0]
+        assert await endpoint.rest_of_the_first() < len(LARGER_THAN_THE_WINDOW)
+    play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("error", ["ENOMEM", "ENOSPC"])
+def test_a_connection_that_cannot_be_watched_yet_is_served_all_the_same(tmp_path: Path, error: str) -> None:
+    """epoll_ctl(2): a request was never read, or the answer to its call never heard."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        node = await shimmed(folder, platform)
+        await node.fail(Failure("epoll_ctl", error, 0.5))
+        names = [f"m{n}" for n in range(20)]
+        told = await asyncio.gather(*(node.hand_in(name, "pay") for name in names))
+        assert [status for status, _ in told] == [202] * len(names)
+        await peer.until(lambda: sorted(ids(peer)) == sorted(names))
+        await asyncio.sleep(0.5)
+        assert not platform.notices
+    play(scene, tmp_path)
+
+
+def test_a_failure_to_look_at_a_descriptor_ends_no_rounds(tmp_path: Path) -> None:
+    """poll(2): one that failed before a round left that round marked as under way for ever."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        node = await shimmed(folder, platform)
+        assert (await node.hand_in("before", "status"))[0] == 202
+        await node.fail(Failure("poll", "ENOMEM"))
+        during = asyncio.create_task(node.hand_in("during", "status"))
+        await asyncio.sleep(0.3)
+        await node.fail()
+        assert (await during)[0] in (202, 503)
+        assert (await node.hand_in("after", "status"))[0] == 202
+        await peer.until(lambda: {"before", "after"} <= set(ids(peer)))
+    play(scene, tmp_path)
