Take back what a call that has ended left in the send buffer

Change: a connection to an endpoint ends by a reset (SO_LINGER of 0) as long as a call on it has no whole answer; set as it comes up, so that it holds for the death of the process too, and taken back before a close with nothing out. Ruled out: that the bytes were counted as never written; `written` is true for them, and their outcome (it may have run, or may yet) was right at the time it was told, but they came after the end.

--- a/lab/shim.py
+++ b/lab/shim.py
@@ -128,7 +128,7 @@
         io.open = builtins.open = open_file
         socket.socket = self.socket_class()  # type: ignore[misc]
         selectors.EpollSelector._selector_cls = self.epoll_class()  # type: ignore[attr-defined]
-        select.poll = self.poll_class()  # type: ignore[misc]
+        select.poll = self.poll_class()  # type: ignore[misc, assignment]
         real_time_ns = time.time_ns
         time.time_ns = lambda: real_time_ns() + int(self.look().clock_s * 1e9)
         time.time = lambda: time.time_ns() / 1e9
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -14,6 +14,7 @@
 import select
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -21,7 +22,7 @@
 from lemonshunt.interface import Outcome
 from lemonshunt.net.config import Address
 from lemonshunt.net.http import MOST_BODY, BadAnswer, ResponseReader, load_report, request, wait_us
-from lemonshunt.net.listen import fileno
+from lemonshunt.net.listen import fileno, reset_on_close
 from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.rules import Attempt, Route, Rules, route_denial
 from lemonshunt.net.supervise import Repeating, Supervisor
@@ -112,11 +113,17 @@
 
 
 class Connection(asyncio.Protocol):
-    """A connection to a target, with at most one call on it."""
+    """A connection to a target, with at most one call on it.
+
+    While a call is out, the end of the connection is a reset: bytes that still wait in the send buffer, since the
+    target or the network takes none, must not arrive once the call has ended here.
+    """
 
     def __init__(self, pool: Pool, call: Call | None = None, seen: bytes = b"") -> None:
         self.pool, self.idle_us = pool, 0
         self.call = call
+        self.answered = call is None
+        """Whether nothing is out on it: its end says nothing of a call."""
         self.given_up: Outcome | None = None
         self.seen = bytearray(seen)  # of the answer that is being read
         self.transport: asyncio.Transport | None = None
@@ -127,6 +134,7 @@
         assert isinstance(transport, asyncio.Transport)
         transport.set_write_buffer_limits(0)  # so that resume_writing tells that the last byte is out
         self.transport = transport
+        self.reset_on_close(True)
         if transport.get_extra_info("socket") is not None:
             self.unread.register(fileno(transport), select.POLLIN)
         if self.call is not None:  # another process wrote it
@@ -134,6 +142,12 @@
             if self.seen:
                 self.read(bytes(self.seen))
 
+    def reset_on_close(self, on: bool) -> None:
+        sock = None if self.transport is None else self.transport.get_extra_info("socket")
+        if sock is not None:
+            with suppress(OSError):  # it has gone already
+                reset_on_close(sock, on)
+
     def resume_writing(self) -> None:
         if self.call is not None:
             self.call.written = True
@@ -150,6 +164,7 @@
             return False
         self.reader.renew()
         self.seen.clear()
+        self.answered = False
         self.transport.write(data)
         if self.transport.is_closing():
             return False
@@ -165,6 +180,8 @@
     def close(self, reason: str = "on demand") -> None:
         if self.transport is not None:
             self.pool.reasons.note(Subject.ENDPOINT_CLOSED, reason, str(self.transport.get_extra_info("peername")))
+            if self.answered:
+                self.reset_on_close(False)
             self.transport.abort()
 
     def give_up(self, outcome: Outcome) -> None:
@@ -213,6 +230,7 @@
     def finish(self, call: Call) -> None:
         """The answer is whole."""
         self.call, call.connection = None, None
+        self.answered = True
         self.pool.ended(call, self.reader)
         if self.reader.keep_alive and self.given_up is None and not self.closing():
             self.pool.keep(self, call.target)
--- a/lemonshunt/net/listen.py
+++ b/lemonshunt/net/listen.py
@@ -7,9 +7,10 @@
 import logging
 import select
 import socket
+import struct
 import time
 from collections.abc import Callable, Iterable
-from typing import Protocol, runtime_checkable
+from typing import Any, Protocol, runtime_checkable
 
 from lemonshunt.net.arrival import PatientSocket, waited_us
 from lemonshunt.net.config import Address
@@ -36,6 +37,7 @@
     }
 )
 """Errors of accept that tell of the connection that was waiting, and not of this process (accept(2))."""
+RESET, NO_RESET = struct.pack("ii", 1, 0), struct.pack("ii", 0, 0)
 log = logging.getLogger("lemonshunt.listen")
 
 
@@ -70,6 +72,12 @@
     return -1 if sock is None else int(sock.fileno())
 
 
+def reset_on_close(sock: Any, on: bool) -> None:
+    """Whether the connection ends by a reset, also as this process dies: what it was given and has not sent yet is
+    dropped then. Else the kernel goes on sending that after the close."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET if on else NO_RESET)
+
+
 def unread(transports: Iterable[asyncio.BaseTransport | None]) -> set[int]:
     """The descriptors of those connections on which bytes or an end wait in the kernel. One system call for all."""
     waiting = select.poll()
--- a/lemonshunt/net/streaming/link.py
+++ b/lemonshunt/net/streaming/link.py
@@ -8,11 +8,11 @@
 
 import asyncio
 import socket
-import struct
 import time
 
+from lemonshunt.net.listen import reset_on_close
+
 PACE_S = 5.0  # time that a peer has kept us waiting, after which its pace is judged
-ABORT, NO_ABORT = struct.pack("ii", 1, 0), struct.pack("ii", 0, 0)  # whether a close resets
 
 
 class Stalled(Exception):
@@ -150,7 +150,7 @@
         """Whether the connection ends by a reset, also by the death of this process: as long as its end would
         be taken for the end of an answer that is not whole."""
         if not self.closed:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT if on else NO_ABORT)
+            reset_on_close(self.sock, on)
 
     def shut(self) -> None:
         """End our side in order, so that the peer reads all that was written."""
