--- a/lab/shim.py
+++ b/lab/shim.py
@@ -23,7 +23,6 @@
 import random
 import runpy
 import select
-import selectors
 import socket
 import sys
 import time
@@ -127,7 +126,7 @@
 
         io.open = builtins.open = open_file
         socket.socket = self.socket_class()  # type: ignore[misc]
-        selectors.EpollSelector._selector_cls = self.epoll_class()  # type: ignore[attr-defined]
+        select.epoll = self.epoll_class()  # type: ignore[misc, assignment]
         select.poll = self.poll_class()  # type: ignore[misc, assignment]
         real_time_ns = time.time_ns
         time.time_ns = lambda: real_time_ns() + int(self.look().clock_s * 1e9)
@@ -158,6 +157,7 @@
             def __init__(self) -> None:
                 self.real = real()
                 self.poll, self.unregister, self.close = self.real.poll, self.real.unregister, self.real.close
+                self.fileno = self.real.fileno
 
             def register(self, fd: int, events: int) -> None:
                 shim.strike("epoll_ctl")
--- a/lemonshunt/net/arrival.py
+++ b/lemonshunt/net/arrival.py
@@ -14,6 +14,8 @@
 import time
 from typing import Any
 
+from lemonshunt.net.watching import PatientEpoll
+
 BLOCKED_NS = 200_000
 """A poll that took longer had nothing to report as it began: what it reports came as it returned."""
 PASSING = frozenset({errno.ENOBUFS, errno.ENOMEM})
@@ -25,6 +27,9 @@
 class TimedSelector(selectors.EpollSelector):
     """An epoll that knows since when what it has just reported may have been there."""
 
+    _selector_cls = PatientEpoll
+    _selector: PatientEpoll
+
     def __init__(self) -> None:
         super().__init__()
         self.returned_ns = self.earliest_ns = time.monotonic_ns()
@@ -32,9 +37,12 @@
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """As the base class."""
         began_ns, before_ns = time.monotonic_ns(), self.returned_ns
+        blind_since_ns = self._selector.blind_since_ns
         ready = super().select(timeout)
         self.returned_ns = time.monotonic_ns()
         self.earliest_ns = earliest_ns(began_ns, before_ns, self.returned_ns, timeout)
+        if blind_since_ns is not None:
+            self.earliest_ns = min(self.earliest_ns, blind_since_ns)
         return ready
 
 
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -26,6 +26,7 @@
 from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.rules import Attempt, Route, Rules, route_denial
 from lemonshunt.net.supervise import Repeating, Supervisor
+from lemonshunt.net.watching import ready_now
 
 IDLE_MARGIN_US = 700_000  # an idle connection is closed so long before its target would: a reset costs a try
 SWEEP_S = 0.2
@@ -174,8 +175,8 @@
 
     def spoilt(self) -> bool:
         """Whether bytes or an end have come that are not read yet. Read after a call is written they would be taken
-        for its answer, or for the end of a call that never arrived."""
-        return bool(self.unread.poll(0))
+        for its answer, or for the end of a call that never arrived. True too where the kernel cannot tell."""
+        return ready_now(self.unread) != []
 
     def close(self, reason: str = "on demand") -> None:
         if self.transport is not None:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -581,7 +581,7 @@
     def scheduled_round(self) -> None:
         """A round, but first what discovery has told already: after the process stood still, a drain may lie unread
         beside the events that would send to the drained endpoint."""
-        if self.watch.behind() and self.put_off < MOST_PUT_OFF:
+        if self.put_off < MOST_PUT_OFF and self.watch.behind():
             self.put_off += 1
             asyncio.get_running_loop().call_soon(self.scheduled_round)
             return
--- a/lemonshunt/net/listen.py
+++ b/lemonshunt/net/listen.py
@@ -14,6 +14,7 @@
 
 from lemonshunt.net.arrival import PatientSocket, waited_us
 from lemonshunt.net.config import Address
+from lemonshunt.net.watching import ready_now
 
 BIND_S = 5.0
 BURST = 64  # connections taken at once
@@ -79,12 +80,14 @@
 
 
 def unread(transports: Iterable[asyncio.BaseTransport | None]) -> set[int]:
-    """The descriptors of those connections on which bytes or an end wait in the kernel. One system call for all."""
+    """The descriptors of those connections on which bytes or an end wait in the kernel; of all, where it cannot tell.
+    One system call for all."""
     waiting = select.poll()
-    for number in map(descriptor, transports):
-        if number >= 0:
-            waiting.register(number, select.POLLIN)
-    return {number for number, _ in waiting.poll(0)}
+    numbers = {number for number in map(descriptor, transports) if number >= 0}
+    for number in numbers:
+        waiting.register(number, select.POLLIN)
+    ready = ready_now(waiting)
+    return numbers if ready is None else {number for number, _ in ready}
 
 
 def no_limit() -> int:
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -22,6 +22,7 @@
 from lemonshunt.net.listen import Listener, descriptor, fileno, unread
 from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.supervise import Supervisor
+from lemonshunt.net.watching import ready_now
 
 MOST_HEAD = 16 * 1024
 MOST_READ = 16 * 1024  # read at once from one client: what it has sent besides must not hold up the others
@@ -388,14 +389,14 @@
 def gone(waiting: Mapping[str, ClientConnection]) -> list[str]:
     """Those of the messages that wait for an answer whose client has ended its side, or the whole connection. The end
     may lie in the kernel unread: after a loop that stood still, a request and its client's end are both there. One
-    system call for all."""
+    system call for all; where it fails, a message is taken on that its client may have given up, which does no harm."""
     ends, names = select.poll(), {}
     for name, door in waiting.items():
         if not door.closed():
             number = fileno(door.transport)
             names[number] = name
             ends.register(number, select.POLLRDHUP)
-    unread = [names[number] for number, _ in ends.poll(0)] if names else []
+    unread = [names[number] for number, _ in ready_now(ends) or ()] if names else []
     return [name for name, door in waiting.items() if door.closed()] + unread
 
 
