--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -5,7 +5,8 @@
 Once the journal has grown enough, a snapshot is written beside it, in steps that do not hold the loop.
 Kinds of records, by the first item of the line:
   taken [id, class, destination, due, key, tenant, attempts, ran_at, ran_on, [[number, at, host]...]] + body,
-        the class as a list of its fields; one more item, the idempotency key, where the message has one
+        the class as a list of its fields; one more item, the idempotency key (or null), and one more, the attempts
+        that were held, as [first, last] each, where there are any
   attempt [id, number, at, host], before the call's first byte; outcome [id, number, may have run]; held [id, number],
         of a call that this machine could not make: no try
   rest [key, until]: the key's next message waits, since a call may still run
@@ -58,8 +59,8 @@
     tenant: str | None
     body: bytes
     attempts: int = 0
-    held_back: int = 0
-    """Those of them that this machine could not make: no tries."""
+    held: set[int] = field(default_factory=set)
+    """The numbers of those that this machine could not make: no tries."""
     ran_at_us: int = -1
     ran_on: str = ""
     out: dict[int, tuple[int, str]] = field(default_factory=dict)
@@ -67,6 +68,11 @@
     doubtful: bool = False
     """Records were lost while it was held: it may have run, and it may be over."""
 
+    @property
+    def held_back(self) -> int:
+        """How many attempts this machine could not make."""
+        return len(self.held)
+
     @property
     def size(self) -> int:
         return len(self.body) + len(self.id) + len(self.idempotency_key or "") + PER_MESSAGE
@@ -230,6 +236,7 @@
             ran_on=ran_on,
             out={number: (at, host) for number, at, host in out},
             idempotency_key=more[0] if more else None,
+            held={number for first, last in (more[1] if len(more) > 1 else ()) for number in range(first, last + 1)},
         )
         if m.id in self.messages:  # a snapshot may have it too
             self.live -= self.messages[m.id].size
@@ -259,7 +266,7 @@
         name, number = rest
         if name in self.messages:
             self.messages[name].out.pop(number, None)
-            self.messages[name].held_back += 1
+            self.messages[name].held.add(number)
 
     def _rest(self, rest: list[Any], body: bytes = b"") -> None:
         key, until_us = rest
@@ -422,7 +429,9 @@
             c.worth,
             c.late_worth,
         ]
-        more = () if m.idempotency_key is None else (m.idempotency_key,)
+        more: Line = () if m.idempotency_key is None else (m.idempotency_key,)
+        if m.held:
+            more = (m.idempotency_key, _ranges(m.held))
         return (
             "taken",
             m.id,
@@ -431,7 +440,7 @@
             m.due_us,
             m.key,
             m.tenant,
-            m.attempts - m.held_back,
+            m.attempts,
             m.ran_at_us,
             m.ran_on,
             out,
@@ -604,6 +613,17 @@
         self.files.close()
 
 
+def _ranges(numbers: Iterable[int]) -> list[list[int]]:
+    """Runs of numbers, each by its first and last."""
+    runs: list[list[int]] = []
+    for number in sorted(numbers):
+        if runs and number == runs[-1][1] + 1:
+            runs[-1][1] = number
+        else:
+            runs.append([number, number])
+    return runs
+
+
 def _parts(names: Iterable[str]) -> list[list[str]]:
     every = [*names]
     return [every[at : at + PART] for at in range(0, len(every), PART)]
--- a/tests/test_store_random.py
+++ b/tests/test_store_random.py
@@ -149,3 +149,30 @@
             except Killed:
                 pass
             disk.sound()
+
+
+def test_a_restart_finds_the_same_tries_though_a_snapshot_and_a_journal_tell_of_them(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Attempts that this machine could not make, and that a snapshot had left out, counted as tries once more came."""
+    monkeypatch.setattr(store_module, "STEP", 300)
+    store = Store(tmp_path, 3_000_000).own()
+    held = [AcceptedMessage(f"m{n}", CLASSES[0], 1, 1, None, None, b"x" * 200) for n in range(20)]
+    for m in held:
+        store.take(m)
+
+    def not_made() -> None:
+        for m in held:
+            store.attempt(m, m.attempts, 5, "host")
+            store.held(m, m.attempts - 1)
+        store.flush()
+    not_made()
+    store.begin_snapshot()
+    while store.files.writing is not None:
+        not_made()
+    for m in held:
+        store.attempt(m, m.attempts, 5, "host")
+        store.outcome(m, m.attempts - 1, False)
+    store.flush()
+    found = Store(tmp_path, 3_000_000).messages
+    assert store.compactions == 1
+    assert {m.attempts - m.held_back for m in held} == {m.attempts - m.held_back for m in found.values()} == {1}
