--- a/lab/shim.py
+++ b/lab/shim.py
@@ -34,9 +34,11 @@
 LOOK_S = 0.005
 """The control file is looked at this often at most."""
 FILE_CALLS = ("write", "pwrite", "open", "ftruncate", "replace", "unlink", "link", "fdatasync", "fsync", "close")
+READ_CALL = "read"
+"""Of a small file that is read as a whole: opening it counts."""
 SOCKET_CALLS = ("socket", "accept", "connect", "recv", "send", "client-recv", "client-send")
 WATCH_CALLS = ("epoll_ctl", "poll")
-CALLS = (*FILE_CALLS, *SOCKET_CALLS, *WATCH_CALLS, "short")
+CALLS = (*FILE_CALLS, READ_CALL, *SOCKET_CALLS, *WATCH_CALLS, "short")
 MOST_SHORT = 24
 """Bytes that a read or write carries at most while it comes short."""
 
@@ -48,6 +50,8 @@
     call: str
     errno: str = "EIO"
     share: float = 1.0
+    file: str = ""
+    """Of calls on files: only where the file has this name; any file's, if empty."""
 
 
 @dataclass(slots=True)
@@ -90,10 +94,12 @@
                 pass  # it is not there yet
         return self.told
 
-    def strike(self, call: str) -> None:
+    def strike(self, call: str, file: str = "") -> None:
         """Fail, if this call is to fail now. Raises OSError."""
         for failure in self.look().failures:
-            if failure.call == call and self.chance.random() < failure.share:
+            if failure.call != call or failure.file not in ("", file):
+                continue
+            if self.chance.random() < failure.share:
                 number = getattr(errno, failure.errno)
                 raise OSError(number, f"{os.strerror(number)} (lab)")
 
@@ -104,13 +110,13 @@
                 return self.chance.randrange(1, min(size, MOST_SHORT) + 1)
         return size
 
-    def concerns(self, where: Any) -> bool:
-        """Whether a path or descriptor is in the state folder."""
+    def concerned(self, where: Any) -> str | None:
+        """The name of a path or descriptor in the state folder, or of the folder; None elsewhere."""
         try:
             path = os.readlink(f"/proc/self/fd/{where}") if isinstance(where, int) else os.path.abspath(where)
         except (OSError, TypeError):
-            return False
-        return path == self.state or path.startswith(self.state + "/")
+            return None
+        return os.path.basename(path) if path == self.state or path.startswith(self.state + "/") else None
 
     # Replacing
 
@@ -120,8 +126,8 @@
         real_open = io.open
 
         def open_file(file: Any, mode: str = "r", *rest: Any, **named: Any) -> Any:
-            if any(letter in mode for letter in "wax+") and self.concerns(file):
-                self.strike("open")
+            if (name := self.concerned(file)) is not None:
+                self.strike("open" if any(letter in mode for letter in "wax+") else READ_CALL, name)
             return real_open(file, mode, *rest, **named)
 
         io.open = builtins.open = open_file
@@ -134,13 +140,14 @@
 
     def file_call(self, name: str, real: Callable[..., Any]) -> Callable[..., Any]:
         def replaced(where: Any, *rest: Any, **named: Any) -> Any:
-            if not self.concerns(where):
+            file = self.concerned(where)
+            if file is None:
                 return real(where, *rest, **named)
             if name == "close":
                 real(where)  # Linux frees the descriptor in any case
-                self.strike(name)
+                self.strike(name, file)
                 return None
-            self.strike(name)
+            self.strike(name, file)
             if name == "write":
                 data = rest[0]
                 return real(where, data[: self.short(len(data))])
--- a/tests/test_incident_lost_and_order.py
+++ b/tests/test_incident_lost_and_order.py
@@ -172,6 +172,26 @@
     assert earliest_ns(began * ms, before * ms, returned * ms, timeout) == earliest * ms
 
 
+@pytest.mark.parametrize("step_s", [3600.0, -3600.0])
+def test_times_go_on_though_the_clocks_anchor_cannot_be_read_at_once(tmp_path: Path, step_s: float) -> None:
+    """`lost`: a start went by the wall clock, an hour off: messages ended at once, or never."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(Answer(429, {"X-RateLimit-Wait-Ms": "3000"})))
+        node = await shimmed(folder, platform)
+        handed_s = asyncio.get_running_loop().time()
+        assert (await node.hand_in("held", "status", left="6"))[0] == 202
+        await peer.got(1)
+        await node.end()
+        await node.fail(Failure("read", "EIO", file="clock"), clock_s=step_s)
+        starting = asyncio.create_task(node.start())
+        await asyncio.sleep(1.0)
+        await node.fail(clock_s=step_s)
+        await starting
+        await platform.notice("held")
+        assert 3.0 < asyncio.get_running_loop().time() - handed_s < 8.0
+    play(scene, tmp_path)
+
+
 SMALL_WINDOW = 4096
 LARGER_THAN_THE_WINDOW = b"x" * 30_000
 
