--- a/lemonshunt/net/clock.py
+++ b/lemonshunt/net/clock.py
@@ -11,14 +11,12 @@
 
 from __future__ import annotations
 
-import json
 import logging
-import os
 import time
-import zlib
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
+from lemonshunt.net import smallfile
 from lemonshunt.net.lease import boot_id
 
 FILE = "clock"
@@ -36,24 +34,18 @@
 
     @staticmethod
     def read(folder: Path) -> Anchor | None:
-        """None where there is none, or not a sound one."""
+        """None where there is none, or not a sound one. Raises OSError where it cannot be read just now: to go by the
+        wall clock then might end all messages at once, or none."""
         try:
-            check, _, told = (folder / FILE).read_bytes().strip().partition(b" ")
-            if int(check, 16) != zlib.crc32(told):
-                raise ValueError("its checksum does not hold")
-            return Anchor(**json.loads(told))
-        except FileNotFoundError:
-            return None
-        except (OSError, ValueError, TypeError) as error:
-            log.error("the clock's anchor cannot be read: %s", error)
+            told = smallfile.read(folder / FILE)
+            return None if told is None else Anchor(**told)
+        except (smallfile.NotSound, TypeError) as error:
+            log.error("the clock's anchor is not sound: %s", error)
             return None
 
     def write(self, folder: Path) -> None:
         """In the old one's place. Raises OSError."""
-        told = json.dumps(asdict(self), separators=(",", ":")).encode()
-        spare = folder / f"{FILE}.new"
-        spare.write_bytes(b"%08x %s\n" % (zlib.crc32(told), told))
-        os.replace(spare, folder / FILE)
+        smallfile.write(folder / FILE, asdict(self))
 
 
 def same_boot(anchor: Anchor, boot: str, monotonic_ns: int) -> bool:
@@ -88,7 +80,7 @@
     """One that goes on over the restarts of one folder."""
 
     def __init__(self, folder: Path, base: int | None = None) -> None:
-        """`base`: that of the process which this one takes over from."""
+        """`base`: that of the process which this one takes over from. Raises OSError: the anchor cannot be read."""
         self.folder, self.boot, self.kept = folder, boot_id(), False
         anchor = Anchor.read(folder)
         now_ns = time.monotonic_ns()
--- a/lemonshunt/net/identity.py
+++ b/lemonshunt/net/identity.py
@@ -7,16 +7,13 @@
 
 from __future__ import annotations
 
-import json
 import logging
-import os
 import secrets
-import zlib
 from dataclasses import asdict, dataclass, replace
 from enum import Enum
 from pathlib import Path
 
-from lemonshunt.net.files import sync_folder
+from lemonshunt.net import smallfile
 
 FILE = "identity"
 log = logging.getLogger("lemonshunt.identity")
@@ -41,34 +38,21 @@
 
     def write(self, folder: Path, durable: bool = False) -> None:
         """Put it in the old one's place, so that it outlasts a power cut if that is asked for. Raises OSError."""
-        told = json.dumps(asdict(self), separators=(",", ":")).encode()
-        spare = folder / f"{FILE}.new"
-        with spare.open("wb") as file:
-            file.write(b"%08x %s\n" % (zlib.crc32(told), told))
-            file.flush()
-            if durable:
-                os.fdatasync(file.fileno())
-        os.replace(spare, folder / FILE)
-        if durable:
-            sync_folder(folder)
+        smallfile.write(folder / FILE, asdict(self), durable)
 
 
 def read(folder: Path) -> Identity | None:
-    """What the folder says; None where it says nothing that is sound."""
+    """What the folder says; None where it says nothing sound. Raises OSError where it cannot be read just now."""
     try:
-        check, _, told = (folder / FILE).read_bytes().rstrip(b"\n").partition(b" ")
-        if int(check, 16) != zlib.crc32(told):
-            raise ValueError("its checksum does not hold")
-        return Identity(**json.loads(told))
-    except FileNotFoundError:
-        return None
-    except (OSError, ValueError, TypeError) as error:
-        log.error("identity: cannot be read: %s", error)
+        told = smallfile.read(folder / FILE)
+        return None if told is None else Identity(**told)
+    except (smallfile.NotSound, TypeError) as error:
+        log.error("identity: not sound: %s", error)
         return None
 
 
 def claim(folder: Path, name: str) -> tuple[Identity | None, Start]:
-    """What this start finds. Raises ForeignState."""
+    """What this start finds. Raises ForeignState, and OSError where the folder cannot be read just now."""
     found = read(folder)
     if found is not None:
         if found.name != name:
