Ask for the list again after an error in taking it on

An error there ended the watch untold, so that the decisions never asked again: drains and new endpoints were not heard until a new configuration came. Change: such an error is counted and logged, and told as a list that could not be had. Measured: test_the_list_is_asked_for_again fails before (the task ends with the error) and passes. No such error is known to occur.

--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -7,6 +7,7 @@
 import logging
 import time
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Protocol
 
 from lemonshunt.net.config import Address, HostList, host_list
@@ -176,15 +177,20 @@
                 if not isinstance(error, OSError | TimeoutError | BadAnswer | Malformed | ValueError):
                     self.supervisor.failed("watch", error)
                 log.warning("the list cannot be had: %s", error or type(error).__name__)
-                self.task = None
-                self.listed(None)
+                self.ended()
                 return
             news, self.seq, self.current = told.seq != self.seq, told.seq, True
-            if news or not told.whole:
-                self.listed(told)
+            if (news or not told.whole) and not self.supervisor.guard("list", partial(self.listed, told)):
+                self.ended()
+                return
             if not news and time.monotonic() - asked < LEAST_WATCH_S:
                 await asyncio.sleep(LEAST_WATCH_S)  # a discovery that answers at once must not spin us
 
+    def ended(self) -> None:
+        """The list is not followed any more; whoever decides asks again."""
+        self.task = None
+        self.listed(None)
+
 
 class Platform(Protocol):
     """Where owed ends are kept until they are acknowledged."""
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -12,8 +12,8 @@
 
 from lab.shim import FILE_CALLS, Failure
 from lemonshunt.net.clock import Anchor, base_ns
-from lemonshunt.net.config import Address
-from lemonshunt.net.discovery import Notices, post_body
+from lemonshunt.net.config import Address, HostList
+from lemonshunt.net.discovery import Notices, Watch, post_body
 from lemonshunt.net.http import MOST_BODY
 from lemonshunt.net.listen import BIND_S
 from lemonshunt.net.store import PendingNotice
@@ -304,3 +304,26 @@
         assert (await new.hand_in("m", "status"))[0] == 202
         await peer.got(1)
     play(scene, tmp_path)
+
+
+def test_the_list_is_asked_for_again_after_an_error_in_taking_it_on() -> None:
+    """An error beside the watch ended it untold, so that nobody asked again."""
+    async def scene() -> None:
+        platform = await Platform().start()
+        told: list[HostList | None] = []
+
+        def listed(news: HostList | None) -> None:
+            told.append(news)
+            if len(told) == 1:
+                raise RuntimeError("unforeseen")
+        supervisor = Supervisor()
+        watch = Watch(Address("127.0.0.1", platform.port), -1, listed, supervisor=supervisor)
+        watch.subscribe()
+        async with asyncio.timeout(PATIENCE):
+            while len(told) < 2:
+                await asyncio.sleep(0.01)
+        assert told[1] is None and supervisor.failures == {"list": 1}
+        watch.subscribe()
+        await platform.until(lambda: len(platform.requests) > 1)
+        watch.client.close()
+    asyncio.run(scene())
