Make a post of notices that failed again within 0.1 s

Cause: pauses between posts grew to 0.4 s, while a message without its end is lost 0.3 s after its time, and a call that is given up at that time takes 0.1 s of it (PROTOCOL). Where sockets cannot be had for a moment, the end of the moment was heard up to 0.4 s late. Change: the pauses end at 0.1 s: the protocol gives the figure. The post is answered at once also while discovery is down, so more posts cost it little. Measured: the bound's test fails before and passes. Not measured: a play in which such a pause lost a message.

--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -26,7 +26,7 @@
 LEAST_WATCH_S = 0.1  # the next watch must come within 0.2 s of the last answer
 POST_S = 0.2  # a post is answered at once, also while discovery is down, and a message without its end is lost 0.3 s
 # after its time: one that gets no answer for so long is made again, on a new connection
-NOTICE_PAUSES_S = (0.05, 0.1, 0.2, 0.4)
+NOTICE_PAUSES_S = (0.05, 0.1)  # a post that failed is made again after these: see above
 MOST_NOTICES = 500  # lines in one post
 MOST_POST = 60_000  # and its bytes: a body holds no more than 64 KiB
 log = logging.getLogger("lemonshunt.discovery")
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -11,9 +11,10 @@
 import pytest
 
 from lab.shim import FILE_CALLS, Failure
+from lemonshunt.net.client import GIVEN_UP_S
 from lemonshunt.net.clock import Anchor, base_ns
 from lemonshunt.net.config import Address, HostList
-from lemonshunt.net.discovery import Notices, Watch, post_body
+from lemonshunt.net.discovery import NOTICE_PAUSES_S, Notices, Watch, post_body
 from lemonshunt.net.http import MOST_BODY
 from lemonshunt.net.listen import BIND_S
 from lemonshunt.net.store import PendingNotice
@@ -242,6 +243,11 @@
     asyncio.run(scene())
 
 
+def test_a_post_that_fails_is_made_again_within_what_an_end_may_be_late() -> None:
+    """A message without its end is lost 0.3 s after its time, and a given-up call takes 0.1 s of that (PROTOCOL)."""
+    assert GIVEN_UP_S + max(NOTICE_PAUSES_S) <= 0.2
+
+
 def test_a_post_of_notices_stays_within_what_a_body_may_hold() -> None:
     owed = [(f"{n:0128d}", PendingNotice("returned", 500, None)) for n in range(500)]
     left = owed
