--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -227,10 +227,10 @@
             line.rest_until = max(line.rest_until, until)
         self.purses, self.idle_us = dict(memory.purses), min(memory.idle_us, self.idle_top)
         for out in memory.calls:
-            t = self.targets.get(out.target)
             attempts = [(name, number) for name, number in out.attempts if name in self.messages]
-            if t is None or not attempts:
+            if not attempts:
                 continue
+            t = self.targets.get(out.target) or self.departed(out.target, self.messages[attempts[0][0]].destination)
             call = Call(t, out.sent_us, out.idle_us, out.gap_us, len(attempts), len(attempts), out.judged)
             self.calls_out, t.out, t.place.out = self.calls_out + 1, t.out + 1, t.place.out + 1
             for name, number in attempts:
@@ -242,6 +242,11 @@
                 if m.key is not None:
                     self.lines[m.key].out += 1
 
+    def departed(self, number: int, destination: int) -> Target:
+        """A target that has left the list while a call to it is out: for that call alone."""
+        place = self.places.setdefault((destination, -1), Place(destination, 1.0, share=1.0 / self.size))
+        return Target(number, destination, "", 0.0, place, serving=False)
+
     def listed(self, event: i.Listed) -> None:
         """Follow the list. A drained or gone target gets nothing new from this round on."""
         if event.kind is i.ListKind.FAILED:
