--- a/lab/single.py
+++ b/lab/single.py
@@ -283,6 +283,8 @@
         self.rules = Rules(lambda: self.now_us)
         self.busy: set[str] = set()
         """Keys whose last message has no answer yet: the next is handed in once it has."""
+        self.doors: dict[str, Door] = {}
+        """Of messages that have no answer yet."""
         self.list_version = 1
         self.start()
 
@@ -340,12 +342,32 @@
 
         def answered(status: int) -> None:
             self.busy.discard(key)
+            self.doors.pop(name, None)
             self.rules.answered(name, status)
 
         known = next(c for c in self.config.settings.classes if c.name == cls)
         destination = 1 + len(name + key) % 2
         handed = Submission(name, known, destination, self.now_us + left_us, key, None, False, name.encode())
-        self.engine.hand_in(handed, Door(answered, self.transport))  # type: ignore[arg-type]
+        self.doors[name] = Door(answered, self.transport)
+        self.engine.hand_in(handed, self.doors[name])  # type: ignore[arg-type]
+
+    def give_up(self, name: str) -> None:
+        """A client that has no answer yet closes its connection."""
+        door = self.doors.pop(name)
+        self.busy.discard(self.rules.fates[name].key)
+        self.rules.withdrawn(name)
+        if door.left is not None:
+            door.left()
+
+    def stop(self) -> None:
+        """SIGTERM, and the process ends by itself: nothing is sent from the freeze on, and calls may end till then."""
+        self.engine.round()
+        self.engine.frozen = True
+        for name, _ in list(self.calls.calls)[:1]:
+            self.calls.end(name, i.Outcome.DELIVERED)
+        self.engine.closed = True
+        self.engine.store.close()
+        self.kill()
 
     def pass_time(self, us: int) -> None:
         """Time passes, calls that are given up by then end, and the engine looks."""
@@ -396,4 +418,5 @@
             if not fate.answered:
                 fate.answered = True
         self.busy.clear()
+        self.doors.clear()
         self.let_go()
--- a/tests/test_order_model.py
+++ b/tests/test_order_model.py
@@ -88,9 +88,19 @@
     def fail(self, calls: tuple[str, ...]) -> None:
         self.failing = calls
 
-    @rule(down_us=st.sampled_from([100 * MS, SECOND]))
-    def restart(self, down_us: int) -> None:
-        self.single.kill()
+    @precondition(lambda self: self.single.doors)
+    @rule()
+    def give_up(self) -> None:
+        """The client of the oldest message without an answer."""
+        self.single.give_up(next(iter(self.single.doors)))
+
+    @rule(down_us=st.sampled_from([100 * MS, SECOND]), in_order=st.booleans())
+    def restart(self, down_us: int, in_order: bool) -> None:
+        """By SIGKILL, or in order first."""
+        if in_order:
+            self.single.stop()
+        else:
+            self.single.kill()
         self.single.now_us += down_us
         self.single.start()
         self.single.pass_time(10 * MS)
