Take a boot whose id cannot be read for the same one, unless the clock went back

Change: where either id is not known, the monotonic clock tells; it goes back at a boot, but where the new one is older than the last. Measured: the new row of the clock's table fails before (4603 s for 1003 s) and passes.

--- a/lemonshunt/net/clock.py
+++ b/lemonshunt/net/clock.py
@@ -49,9 +49,9 @@
 
 
 def same_boot(anchor: Anchor, boot: str, monotonic_ns: int) -> bool:
-    """Whether the monotonic clock is still the one of the anchor. Where the machine does not tell its boots, it is as
-    long as it has not gone back."""
-    return anchor.boot == boot and anchor.monotonic_ns <= monotonic_ns
+    """Whether the monotonic clock is still the one of the anchor. Where the machine does not tell its boots, or did not
+    just now or then, it is as long as it has not gone back."""
+    return (anchor.boot == boot or not boot or not anchor.boot) and anchor.monotonic_ns <= monotonic_ns
 
 
 def base_ns(anchor: Anchor | None, boot: str, monotonic_ns: int, wall_ns: int) -> int:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -162,6 +162,7 @@
     "same boot, wall an hour behind": (Anchor(BOOT, 5 * S, 1000 * S), BOOT, 8 * S, -2597 * S, 1003 * S),
     "another boot": (Anchor(BOOT, 500 * S, 1000 * S), OTHER, 20 * S, 1100 * S, 1100 * S),
     "another boot, wall set back": (Anchor(BOOT, 500 * S, 1000 * S), OTHER, 20 * S, 700 * S, 1020 * S),
+    "boot not readable now": (Anchor(BOOT, 5 * S, 1000 * S), "", 8 * S, 4603 * S, 1003 * S),
     "boots unknown, monotonic set back": (Anchor("", 500 * S, 1000 * S), "", 20 * S, 1100 * S, 1100 * S),
 }
 
