--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -10,10 +10,11 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import astuple
+from typing import TypeVar
 
 from lemonshunt.journal import NewerFormat
 from lemonshunt.net.arrival import event_loop
-from lemonshunt.net.config import Config, ConfigError, load
+from lemonshunt.net.config import Config, ConfigError, ConfigUnreadable, load
 from lemonshunt.net.control import Control
 from lemonshunt.net.engine import Engine, Maker
 from lemonshunt.net.identity import ForeignState
@@ -22,9 +23,33 @@
 
 READ_PATIENCE_S = 20.0  # a start has to be ready within 30 s
 READ_AGAIN_S = 0.2
+Made = TypeVar("Made")
 log = logging.getLogger("lemonshunt")
 
 
+def retried(make: Callable[[], Made], passing: Callable[[Exception], bool]) -> Made:
+    """Make it, again for a while where it fails for a passing reason: a start that ends for one is a crash."""
+    patience_s = time.monotonic() + READ_PATIENCE_S
+    while True:
+        try:
+            return make()
+        except Exception as error:
+            if not passing(error) or time.monotonic() > patience_s:
+                raise
+            log.error("cannot start yet, trying again: %s", error)
+        time.sleep(READ_AGAIN_S)
+
+
+def passing_read(error: Exception) -> bool:
+    """Whether the configuration may be readable in a moment."""
+    return isinstance(error, ConfigUnreadable) and error.passing
+
+
+def passing_call(error: Exception) -> bool:
+    """Whether a call of the system has failed."""
+    return isinstance(error, OSError)
+
+
 async def patiently(make: Callable[[], Engine]) -> Engine:
     """Make the engine, which reads the journal; again for a while where reading fails."""
     patience = time.monotonic() + READ_PATIENCE_S
@@ -86,13 +111,13 @@
 
         return look(sys.argv[2:])
     try:
-        config = load()
+        config = retried(load, passing_read)
         parts = turned_on(sys.argv[1:], config)
     except ConfigError as error:
         print(f"lemonshunt: {error}", file=sys.stderr)
         return 2
     try:
-        with asyncio.Runner(loop_factory=event_loop) as runner:
+        with asyncio.Runner(loop_factory=lambda: retried(event_loop, passing_call)) as runner:
             runner.run(serve(config, parts))
     except (OSError, NewerFormat, ForeignState) as error:
         print(f"lemonshunt: cannot serve: {error}", file=sys.stderr)
--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import math
 import os
@@ -14,6 +15,8 @@
 from lemonshunt import interface as i
 from lemonshunt.wirehost import Malformed, entry, need, settings
 
+PASSING = frozenset({errno.EIO, errno.ENFILE, errno.EMFILE, errno.ENOMEM, errno.EINTR, errno.EAGAIN})
+"""Errors of open and read that may be over in a moment (open(2), read(2))."""
 HEALTH = {"up": "SERVING", "draining": "DRAINING", "removed": "DELETED"}
 
 
@@ -22,7 +25,11 @@
 
 
 class ConfigUnreadable(ConfigError):
-    """The file could not be read just now; it may be later."""
+    """The file could not be read just now; it may be later. `passing`: by an error that says nothing of the file."""
+
+    def __init__(self, text: str, passing: bool = False) -> None:
+        super().__init__(text)
+        self.passing = passing
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,7 +141,7 @@
     try:
         told = json.loads(Path(path).read_bytes())
     except OSError as error:
-        raise ConfigUnreadable(f"cannot read {path}: {error}") from None
+        raise ConfigUnreadable(f"cannot read {path}: {error}", error.errno in PASSING) from None
     except ValueError as error:
         raise ConfigError(f"cannot read {path}: {error}") from None
     try:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -11,9 +12,10 @@
 import pytest
 
 from lab.shim import FILE_CALLS, Failure
+from lemonshunt.__main__ import passing_read, retried
 from lemonshunt.net.client import GIVEN_UP_S
 from lemonshunt.net.clock import Anchor, base_ns
-from lemonshunt.net.config import Address, HostList
+from lemonshunt.net.config import Address, ConfigError, HostList, load
 from lemonshunt.net.discovery import NOTICE_PAUSES_S, Notices, Watch, post_body
 from lemonshunt.net.http import MOST_BODY
 from lemonshunt.net.listen import BIND_S
@@ -207,6 +209,24 @@
     play(scene, tmp_path)
 
 
+@pytest.mark.parametrize(("error", "tries"), [(errno.EIO, 3), (errno.EMFILE, 3), (errno.ENOENT, 1)])
+def test_a_configuration_that_cannot_be_read_for_a_moment_ends_no_start(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error: int, tries: int) -> None:
+    """A passing failure is tried again; one that names no file is told at once."""
+    left, made = [OSError(error, "for the test")] * 2, []
+
+    def read_bytes(path: Path) -> bytes:
+        made.append(path)
+        if left:
+            raise left.pop()
+        return b"{}"
+    monkeypatch.setattr(Path, "read_bytes", read_bytes)
+    monkeypatch.setenv("LB_CONFIG", str(tmp_path / "config.json"))
+    with pytest.raises(ConfigError):
+        retried(load, passing_read)
+    assert len(made) == tries
+
+
 class Book:
     """One end that is owed."""
 
