Let what a cut holds back arrive behind a close in order, as a kernel would send it

Change: the forwarder's end of sending is held back behind its bytes; as the link heals both come, unless a reset has come since. The test of the net fails on the lab of before by its new effect.

--- a/lab/endpoints.py
+++ b/lab/endpoints.py
@@ -176,6 +176,9 @@
             for ident in call.ids:
                 self.site.record.note("cut", id=ident, node=self.link[0], party=self.site.name, call=call.number)
 
+    def gave_up(self) -> None:
+        self.lost()
+
     def gone(self) -> None:
         self.site.doors.discard(self)
         self.lost()
--- a/lab/net.py
+++ b/lab/net.py
@@ -2,13 +2,15 @@
 
 A forwarder dials each party at an address that only this forwarder is given, so a link is known by the address that was
 dialled, without special rights. Silence holds bytes back as a network that retransmits does: they come when it heals,
-if the connection still stands. A new connection finds a full queue and never comes up.
+also behind a close in order, since the sender's kernel goes on; after a reset nothing comes. A new connection finds a
+full queue and never comes up.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
+import select
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -92,6 +94,8 @@
         self.going: list[bytes] = []
         self.later = {True: 0.0, False: 0.0}
         self.closing_after = False
+        self.ended_behind = False
+        """The forwarder has ended its side, behind bytes that the link holds back."""
         self.mute = False
         """Nothing leaves any more, also of what the link has held back or delayed."""
 
@@ -117,6 +121,22 @@
         else:
             self.got(data)
 
+    def eof_received(self) -> bool:
+        """The forwarder ends its side; whether the connection stays for what the link holds back."""
+        self.ended_behind = bool(self.came)
+        if self.ended_behind:
+            self.gave_up()
+        return self.ended_behind
+
+    def was_reset(self) -> bool:
+        """Whether a reset has come behind the forwarder's end: the loop does not look for one any more."""
+        sock = None if self.transport is None else self.transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return True
+        waiting = select.poll()
+        waiting.register(sock.fileno(), 0)
+        return bool(waiting.poll(0))
+
     def send(self, data: bytes) -> None:
         effect = self.net.effect(self.link)
         if effect.silent_in or self.going:
@@ -151,8 +171,13 @@
         effect = self.net.effect(self.link)
         if not effect.silent_out:
             came, self.came = self.came, []
+            if self.ended_behind and self.was_reset():
+                self.net.count("dropped by a reset")
+                came = []
             for data in came:
                 self.got(data)
+            if self.ended_behind and self.transport is not None:
+                self.transport.close()
         if not effect.silent_in:
             going, self.going = self.going, []
             for data in going:
@@ -174,6 +199,9 @@
     def sent(self, data: bytes) -> None:
         """These bytes were handed to the socket."""
 
+    def gave_up(self) -> None:
+        """The forwarder has ended its side, and what it sent last is not here yet."""
+
     def gone(self) -> None:
         """The connection has ended."""
 
--- a/tests/test_lab_net.py
+++ b/tests/test_lab_net.py
@@ -20,6 +20,7 @@
 from lab.net import Effect, Exchange, Guarded, Link, Listener, Net
 from lab.run import Result, facts
 from lab.scenario import Fault, Scenario
+from lemonshunt.net.listen import reset_on_close
 from lemonshunt.wirehost import settings
 from tests.sockets import PATIENCE, free_port, own_host
 
@@ -31,6 +32,15 @@
         self.send(data)
 
 
+class Sink(Guarded):
+    def __init__(self, net: Net, link: Link, came: list[bytes]) -> None:
+        super().__init__(net, link)
+        self.came_through = came
+
+    def got(self, data: bytes) -> None:
+        self.came_through.append(data)
+
+
 async def linked(net: Net, link: Link = LINK) -> Listener:
     host = own_host()
     listener = Listener(net, link, (host, free_port(host)), lambda: Echo(net, link))
@@ -69,6 +79,31 @@
     played(scene)
 
 
+@pytest.mark.parametrize("reset", [False, True])
+def test_what_silence_held_back_comes_behind_a_close_and_not_behind_a_reset(reset: bool) -> None:
+    async def scene(net: Net) -> None:
+        listener = await linked(net)
+        came: list[bytes] = []
+        listener.make = lambda: Sink(net, LINK, came)
+        _, writer = await asyncio.open_connection(*listener.where)
+        writer.write(b"before")
+        async with asyncio.timeout(PATIENCE):
+            while not came:
+                await asyncio.sleep(0.01)
+        net.put(LINK, Effect(silent_out=True))
+        writer.write(b"late")
+        if reset:
+            reset_on_close(writer.get_extra_info("socket"), True)
+        writer.write_eof()
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(0.05)
+        net.heal(LINK)
+        assert came == ([b"before"] if reset else [b"before", b"late"])
+        listener.close()
+    assert played(scene).counts.get("dropped by a reset", 0) == reset
+
+
 def test_a_new_connection_never_comes_up_in_silence_and_does_when_it_heals() -> None:
     async def scene(net: Net) -> None:
         listener = await linked(net)
