--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import os
 import random
@@ -27,11 +26,12 @@
 from lemonshunt.net.client import Pool
 from lemonshunt.net.clock import AnchoredClock
 from lemonshunt.net.config import Address, Config, ConfigError, ConfigUnreadable, HostList, host, load
-from lemonshunt.net.control import Calls, Control, Refused, alone
+from lemonshunt.net.control import Calls, Control, Refused
 from lemonshunt.net.discovery import FIRST_LIST_US, Notices, Watch
 from lemonshunt.net.drain import LATE_S, Drain
 from lemonshunt.net.effects import Departures, Effects
 from lemonshunt.net.listen import bind
+from lemonshunt.net.operators import Operators
 from lemonshunt.net.reasons import Reasons, Subject
 from lemonshunt.net.rules import Rules
 from lemonshunt.net.server import OVERSHOOT, ClientConnection, Server, Submission, gone
@@ -215,17 +215,7 @@
         self.notices = Notices(config.discovery, self, self.supervisor)
         self.drain = Drain(self.server, self.supervisor)
         self.control = control
-        self.calls: Calls = {
-            "HEALTH": alone(self.health),
-            "LEAVE": alone(self.leave),
-            "JOIN": alone(self.join),
-            "OFFLINE": self.offline,
-            "ONLINE": self.online,
-            "WHY": self.why,
-            "PHASE": alone(self.tell_phase),
-            "JOURNAL": alone(self.tell_journal),
-            "RULES": alone(self.tell_rules),
-        }
+        self.operators = Operators(self)
         self.arriving: dict[str, tuple[Submission, ClientConnection]] = {}
         self.events: list[i.Event] = []
         self.scheduled = False
@@ -320,15 +310,12 @@
             await handover.adopt_calls(self, self.handover)
         self.round()
         self.notices.kick()
-        self.control.calls = self.calls  # operators who are handed over have called a forwarder that serves
+        self.control.calls = self.operators.calls()  # those who are handed over have called a forwarder that serves
         if self.handover is not None:
             await handover.adopt_clients(self, self.handover)
         self.server.listen(self.clients)
         for part in self.parts:
             await part.open()
-        for part in self.parts:
-            self.calls = {**self.calls, **part.calls}
-        self.control.calls = self.calls
         controlled = self.supervisor.keep("control", self.serve_control)
         self.ownership.listen(self.hand_over)
         log.info("ready")
@@ -428,7 +415,7 @@
             self.reasons_s = now
             self.reasons.report()
         if self.life.phase is not Phase.SERVING and self.life.step(self.clock(), self.store.messages):
-            log.info("phase: %s", self.tell_phase())
+            log.info("phase: %s", self.life.tell(self.clock()))
         if not late:  # after a standstill the decisions come first: their timers are due as well
             self.end_overdue()
 
@@ -704,97 +691,7 @@
             self.store.told(name)
         self.store.flush()
 
-    # Operators' calls
-
-    def health(self) -> str:
-        if self.leaving_s:
-            raise Refused("stopping")
-        return "serving"
-
-    def offline(self, name: str) -> str:
-        """Leave an endpoint out from now on: when this returns, nothing more can leave for it."""
-        self.check_listed(name)
-        if name not in self.store.bans:
-            self.store.ban(name, self.clock())
-            self.carry_out(i.Banned(self.number(name), self.store.bans[name]))
-            log.info("maintenance: %s is left out", name)
-        return f"{name} is left out"
-
-    def online(self, name: str) -> str:
-        self.check_listed(name)
-        if name in self.store.bans:
-            self.store.ban(name, -1)
-            self.carry_out(i.Unbanned(self.number(name)))
-            log.info("maintenance: %s is used again", name)
-        return f"{name} is used"
-
-    def check_listed(self, name: str) -> None:
-        if name not in self.store.names and name not in self.store.bans:
-            raise Refused("no endpoint of that id was ever listed")
-
-    def tell_journal(self) -> str:
-        kept, who = self.store, self.identity
-        return "; ".join(
-            text
-            for text in (
-                "sound" if not kept.found.damaged else kept.damage(),
-                f"{kept.found.torn} bytes of a torn tail cut",
-                f"start {who.starts} of {who.id}: {self.start.value}" if who else "",
-                f"{kept.size} bytes",
-                f"{kept.aside} bytes of damaged files set aside",
-                "cannot be written" if kept.failed else "",
-            )
-            if text
-        )
-
-    def tell_rules(self) -> str:
-        """What was held back, what should never have been tried, and what has failed."""
-        return (
-            f"violations: {self.reasons.summary(Subject.VIOLATION)}; held back: "
-            f"{self.reasons.summary(Subject.HELD_BACK)}; failures: {self.supervisor.summary()}; "
-            f"journal: {'cannot be written' if self.store.failed else 'written'}, "
-            f"{self.store.write_failures} failures"
-        )
-
-    def tell_phase(self) -> str:
-        return self.life.tell(self.clock())
-
-    def why(self, rest: str) -> str:
-        """What holds messages back, and for how long: of all, of one destination, or one message."""
-        word, _, value = rest.partition("=")
-        try:
-            if not rest:
-                rows = self.dispatcher.books.total()
-            elif rest == "json":
-                return self.gates_told()
-            elif word == "dest":
-                rows = self.dispatcher.books.total(int(value))
-            elif word == "id":
-                rows = self.dispatcher.why(value)
-            else:
-                raise Refused("WHY stands alone, or with json, dest=N or id=X")
-        except ValueError:
-            raise Refused("a destination is a number") from None
-        except KeyError:
-            raise Refused("no message of that id is held") from None
-        return "; ".join(f"{gate.value} {us / SECOND:.3f} s" for gate, us in rows) or "nothing was held"
-
-    def gates_told(self) -> str:
-        """`WHY json`: rows of destination, class, gate and microseconds held since the start, what is held now among
-        them; and of destination, class, gate and messages that were refused by it."""
-        held = {(*whose, gate): us for whose, book in self.dispatcher.books.sums.items() for gate, us in book.items()}
-        now = self.clock()
-        for m in self.dispatcher.messages.values():
-            if m.gate is not None:
-                key = (m.destination, m.cls.name, m.gate)
-                held[key] = held.get(key, 0) + now - m.gate_at
-        return json.dumps(
-            {
-                "held": [[d, cls, gate.value, us] for (d, cls, gate), us in held.items()],
-                "refused": [[*key, n] for key, n in self.effects.refused_by.items()],
-            },
-            separators=(",", ":"),
-        )
+    # Operators' calls: what they decide is in operators.py
 
     def carry_out(self, event: i.Event) -> None:
         """What operators ask for is journaled and done before they hear of it."""
@@ -805,20 +702,6 @@
         if self.syncer is not None and not self.syncer.barrier():
             raise Refused("done, but the journal cannot be synced: a power cut would undo it")
 
-    def leave(self) -> str:
-        log.info("drain: clients are sent away")
-        self.send_away()
-        return "leaving"
-
-    def join(self) -> str:
-        if self.leaving_s:
-            raise Refused("stopping")
-        log.info("drain: back to work")
-        self.drain.join()
-        for part in self.parts:
-            part.join()
-        return "joined"
-
     def send_away(self) -> None:
         self.drain.leave()
         for part in self.parts:
--- /dev/null
+++ b/lemonshunt/net/operators.py
@@ -0,0 +1,151 @@
+"""What operators may ask of a running forwarder, and what they are answered (docs/operating.md)."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import TYPE_CHECKING
+
+from lemonshunt import interface as i
+from lemonshunt.net.control import Calls, Refused, alone
+from lemonshunt.net.reasons import Subject
+
+if TYPE_CHECKING:
+    from lemonshunt.net.engine import Engine
+
+SECOND = 1_000_000
+log = logging.getLogger("lemonshunt.operators")
+
+
+class Operators:
+    """The calls of one engine. Each returns what to tell, or raises Refused."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+
+    def calls(self) -> Calls:
+        """By their words, those of the parts that are on among them."""
+        own: Calls = {
+            "HEALTH": alone(self.health),
+            "LEAVE": alone(self.leave),
+            "JOIN": alone(self.join),
+            "OFFLINE": self.offline,
+            "ONLINE": self.online,
+            "WHY": self.why,
+            "PHASE": alone(self.phase),
+            "JOURNAL": alone(self.journal),
+            "RULES": alone(self.rules),
+        }
+        return {**own, **{word: call for part in self.engine.parts for word, call in part.calls.items()}}
+
+    def health(self) -> str:
+        """Whether it serves."""
+        if self.engine.leaving_s:
+            raise Refused("stopping")
+        return "serving"
+
+    def offline(self, name: str) -> str:
+        """Leave an endpoint out from now on: when this returns, nothing more can leave for it."""
+        self._check_listed(name)
+        if name not in self.engine.store.bans:
+            self.engine.store.ban(name, self.engine.clock())
+            self.engine.carry_out(i.Banned(self.engine.number(name), self.engine.store.bans[name]))
+            log.info("maintenance: %s is left out", name)
+        return f"{name} is left out"
+
+    def online(self, name: str) -> str:
+        """Use an endpoint again that was left out."""
+        self._check_listed(name)
+        if name in self.engine.store.bans:
+            self.engine.store.ban(name, -1)
+            self.engine.carry_out(i.Unbanned(self.engine.number(name)))
+            log.info("maintenance: %s is used again", name)
+        return f"{name} is used"
+
+    def _check_listed(self, name: str) -> None:
+        if name not in self.engine.store.names and name not in self.engine.store.bans:
+            raise Refused("no endpoint of that id was ever listed")
+
+    def journal(self) -> str:
+        """How the journal was found, and how it stands."""
+        kept, who = self.engine.store, self.engine.identity
+        return "; ".join(
+            text
+            for text in (
+                "sound" if not kept.found.damaged else kept.damage(),
+                f"{kept.found.torn} bytes of a torn tail cut",
+                f"start {who.starts} of {who.id}: {self.engine.start.value}" if who else "",
+                f"{kept.size} bytes",
+                f"{kept.aside} bytes of damaged files set aside",
+                "cannot be written" if kept.failed else "",
+            )
+            if text
+        )
+
+    def rules(self) -> str:
+        """What was held back, what should never have been tried, and what has failed."""
+        return (
+            f"violations: {self.engine.reasons.summary(Subject.VIOLATION)}; held back: "
+            f"{self.engine.reasons.summary(Subject.HELD_BACK)}; failures: {self.engine.supervisor.summary()}; "
+            f"journal: {'cannot be written' if self.engine.store.failed else 'written'}, "
+            f"{self.engine.store.write_failures} failures"
+        )
+
+    def phase(self) -> str:
+        """How far the start has come."""
+        return self.engine.life.tell(self.engine.clock())
+
+    def why(self, rest: str) -> str:
+        """What holds messages back, and for how long: of all, of one destination, or one message."""
+        word, _, value = rest.partition("=")
+        try:
+            if not rest:
+                rows = self.engine.dispatcher.books.total()
+            elif rest == "json":
+                return self.why_as_json()
+            elif word == "dest":
+                rows = self.engine.dispatcher.books.total(int(value))
+            elif word == "id":
+                rows = self.engine.dispatcher.why(value)
+            else:
+                raise Refused("WHY stands alone, or with json, dest=N or id=X")
+        except ValueError:
+            raise Refused("a destination is a number") from None
+        except KeyError:
+            raise Refused("no message of that id is held") from None
+        return "; ".join(f"{gate.value} {us / SECOND:.3f} s" for gate, us in rows) or "nothing was held"
+
+    def why_as_json(self) -> str:
+        """`WHY json`: rows of destination, class, gate and microseconds held since the start, what is held now among
+        them; and of destination, class, gate and messages that were refused by it."""
+        held = {
+            (*whose, gate): us for whose, book in self.engine.dispatcher.books.sums.items() for gate, us in book.items()
+        }
+        now = self.engine.clock()
+        for m in self.engine.dispatcher.messages.values():
+            if m.gate is not None:
+                key = (m.destination, m.cls.name, m.gate)
+                held[key] = held.get(key, 0) + now - m.gate_at
+        return json.dumps(
+            {
+                "held": [[d, cls, gate.value, us] for (d, cls, gate), us in held.items()],
+                "refused": [[*key, n] for key, n in self.engine.effects.refused_by.items()],
+            },
+            separators=(",", ":"),
+        )
+
+    def leave(self) -> str:
+        """Send clients away; messages that were taken on go on."""
+        log.info("drain: clients are sent away")
+        self.engine.send_away()
+        return "leaving"
+
+    def join(self) -> str:
+        """Take clients again."""
+        if self.engine.leaving_s:
+            raise Refused("stopping")
+        log.info("drain: back to work")
+        self.engine.drain.join()
+        for part in self.engine.parts:
+            part.join()
+        return "joined"
--- a/tests/test_order_model.py
+++ b/tests/test_order_model.py
@@ -121,7 +121,7 @@
     def breaks_no_rule(self) -> None:
         assert self.single.left_without_end() == []
         assert self.single.rules.broken == []
-        assert "violations: none" in self.single.engine.tell_rules()
+        assert "violations: none" in self.single.engine.operators.rules()
 
 
 KeyOrder.TestCase.settings = profile(derandomize=True, max_examples=80, stateful_step_count=50, deadline=None)
@@ -159,7 +159,7 @@
     for _ in range(20):
         single.pass_time(20 * MS)
     assert [name for name, _ in single.calls.calls] == ["m1"]
-    assert "violations: none" in single.engine.tell_rules() and single.rules.broken == []
+    assert "violations: none" in single.engine.operators.rules() and single.rules.broken == []
     single.calls.end("m1", i.Outcome.DELIVERED)
     for _ in range(20):
         single.pass_time(20 * MS)
