Tell a connection's maker how long it waited, in place of an attribute and a protocol

And the bytes of a post of notices stood beside the bound on bodies. Change: `Listener` hands it to the factory; MOST_POST is http.MOST_BODY.

--- a/lemonshunt/net/arrival.py
+++ b/lemonshunt/net/arrival.py
@@ -78,9 +78,6 @@
     """A connection on which a call that fails for want of memory or buffers is made again when the loop next finds it
     ready (send(2) and recv(2): ENOBUFS, ENOMEM): to end the connection would leave its request unanswered."""
 
-    waited_us = 0
-    """How long it may have waited before it was accepted."""
-
     @classmethod
     def of(cls, sock: socket.socket) -> PatientSocket:
         """In the place of a plain one, which has no descriptor any more then."""
--- a/lemonshunt/net/control.py
+++ b/lemonshunt/net/control.py
@@ -102,7 +102,7 @@
         self.listeners: dict[Address, Listener] = {}  # our own, and for a time that of the process before
 
     def listen(self, sock: socket.socket) -> Listener:
-        listener = Listener(sock, BACKLOG, lambda: Caller(self), self.room)
+        listener = Listener(sock, BACKLOG, lambda waited_us: Caller(self), self.room)
         self.listeners[listener.where()] = listener
         return listener
 
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from lemonshunt.net.config import Address, HostList, host_list
-from lemonshunt.net.http import MOST_LIST, BadAnswer, ResponseReader, request
+from lemonshunt.net.http import MOST_BODY, MOST_LIST, BadAnswer, ResponseReader, request
 from lemonshunt.net.listen import unread
 from lemonshunt.net.store import PendingNotice
 from lemonshunt.net.supervise import Supervisor
@@ -28,7 +28,7 @@
 # after its time: one that gets no answer for so long is made again, on a new connection
 NOTICE_PAUSES_S = (0.05, 0.1)  # a post that failed is made again after these: see above
 MOST_NOTICES = 500  # lines in one post
-MOST_POST = 60_000  # and its bytes: a body holds no more than 64 KiB
+MOST_POST = MOST_BODY  # and its bytes
 log = logging.getLogger("lemonshunt.discovery")
 
 
--- a/lemonshunt/net/listen.py
+++ b/lemonshunt/net/listen.py
@@ -10,7 +10,7 @@
 import struct
 import time
 from collections.abc import Callable, Iterable
-from typing import Any, Protocol, runtime_checkable
+from typing import Any
 
 from lemonshunt.net.arrival import PatientSocket, waited_us
 from lemonshunt.net.config import Address
@@ -94,22 +94,16 @@
     return BURST
 
 
-@runtime_checkable
-class Waited(Protocol):
-    """What wants to know how long its connection may have waited before it was accepted."""
-
-    def waited(self, us: int) -> None: ...
-
-
 class Listener:
-    """Accepts connections. `room` says how many more there may be now; `short` hears that descriptors or memory for
+    """Accepts connections. `protocol` makes what serves one, and is told how long it may have waited before it was
+    accepted, in microseconds. `room` says how many more there may be now; `short` hears that descriptors or memory for
     another are not to be had, so that its owner can give some back."""
 
     def __init__(
         self,
         sock: socket.socket,
         backlog: int,
-        protocol: Callable[[], asyncio.BaseProtocol],
+        protocol: Callable[[int], asyncio.BaseProtocol],
         room: Callable[[], int] = no_limit,
         short: Callable[[OSError], None] | None = None,
     ) -> None:
@@ -154,9 +148,8 @@
                 self.failed(error)
                 return
             conn = PatientSocket.of(accepted)
-            conn.waited_us = self.waited_us()
             conn.setblocking(False)
-            self.coming[conn] = asyncio.get_running_loop().create_task(self.attach(conn))
+            self.coming[conn] = asyncio.get_running_loop().create_task(self.attach(conn, self.waited_us()))
 
     def failed(self, error: OSError) -> None:
         """No connection can be accepted, most likely for want of descriptors."""
@@ -166,11 +159,10 @@
             log.error("cannot accept: %s", error)
         self.pause(PAUSE_S)
 
-    async def attach(self, conn: PatientSocket) -> None:
+    async def attach(self, conn: PatientSocket, waited_us: int) -> None:
+        """Serve a connection that has been accepted."""
         try:
-            _, protocol = await asyncio.get_running_loop().connect_accepted_socket(self.protocol, conn)
-            if isinstance(protocol, Waited):
-                protocol.waited(conn.waited_us)
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: self.protocol(waited_us), conn)
         except OSError as error:  # it has gone already
             log.info("a connection was lost as it was taken on: %s", error)
             conn.close()
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -123,9 +123,10 @@
 
 class ClientConnection(asyncio.BufferedProtocol):
     """One client's connection. Requests are answered one at a time, in the order they came. One that another
-    process handed over begins with what had been read of a request."""
+    process handed over begins with what had been read of a request. `waited_us`: so long it may have waited to be
+    accepted, and its first request with it."""
 
-    def __init__(self, server: Server, told: dict[str, Any] | None = None) -> None:
+    def __init__(self, server: Server, told: dict[str, Any] | None = None, waited_us: int = 0) -> None:
         self.server, self.told = server, told
         self.raw = bytearray()  # what has been read of the request that is being read
         self.shared = False  # what was read last held the end of a request too
@@ -137,8 +138,11 @@
         self.busy: Request | None = None
         self.left: Callable[[], None] | None = None
         self.made_us = self.used_us = self.arrived_us = server.clock()
-        self.attached_us = self.unread_since_us = self.made_us
-        """Since when the loop watches it, and since when something may lie unread that it has not reported."""
+        self.attached_us = self.made_us
+        """Since when the loop watches it."""
+        self.unread_since_us = self.attached_us - min(waited_us, CLIENT_PATIENCE_US)
+        """Since when something may lie unread that the loop has not reported. No client waits longer than its patience,
+        so what is left open now is no older than that."""
         self.asked = self.broken = self.ended = self.full = False  # full: it does not read what it is answered
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -154,11 +158,6 @@
             self.used_us = self.told["used_us"]
             self.unread_since_us = self.told.get("handed_us", self.attached_us)
 
-    def waited(self, us: int) -> None:
-        """So long it may have waited to be accepted, and its first request with it; no client waits longer than its
-        patience, so what is left open now is no older than that."""
-        self.unread_since_us = self.attached_us - min(us, CLIENT_PATIENCE_US)
-
     def arrival(self) -> int:
         """When what is read now may have come, at the earliest."""
         at_us = self.used_us - waited_us()
@@ -423,7 +422,9 @@
         self.listener: Listener | None = None
 
     def listen(self, sock: socket.socket) -> None:
-        self.listener = Listener(sock, BACKLOG, lambda: ClientConnection(self), self.room, self.short)
+        self.listener = Listener(
+            sock, BACKLOG, lambda waited_us: ClientConnection(self, waited_us=waited_us), self.room, self.short
+        )
         self.supervisor.repeat("sweep of clients", SWEEP_S, self.sweep)
 
     async def adopt(self, sock: socket.socket, told: dict[str, Any]) -> None:
--- a/lemonshunt/net/streaming/part.py
+++ b/lemonshunt/net/streaming/part.py
@@ -60,9 +60,9 @@
 
     def __init__(self, sock: socket.socket, streaming: Streaming) -> None:
         self.streaming = streaming
-        super().__init__(sock, BACKLOG, asyncio.Protocol, lambda: SPARE_SOCKETS // 2)
+        super().__init__(sock, BACKLOG, lambda waited_us: asyncio.Protocol(), lambda: SPARE_SOCKETS // 2)
 
-    async def attach(self, conn: PatientSocket) -> None:
+    async def attach(self, conn: PatientSocket, waited_us: int) -> None:
         try:
             await self.streaming.visited(conn)
         finally:
