Guard steps that wait by one piece of code; call the lab's reference an oracle

Change: `Supervisor.guarded`; `lab/single.Oracle`. A hand-over's connection now costs itself alone for any error, not OSError only. Measured: the tests of the model, upgrades, operators and endings pass.

--- a/lab/single.py
+++ b/lab/single.py
@@ -1,7 +1,7 @@
 """One forwarder without sockets: the real engine, decisions and journal between stand-ins that a test drives by hand.
 
 Time is the caller's, calls and notices are ended by the caller, and the folder is real. Whatever the forwarder lets
-leave is checked against the rules at once, by what clients and the platform were told; `Rules.broken` has what is
+leave is checked against the rules at once, by what clients and the platform were told; `Oracle.broken` has what is
 broken.
 """
 
@@ -107,7 +107,7 @@
         return self.delivered or self.noticed or (self.answered and not self.accepted)
 
 
-class Rules:
+class Oracle:
     """Clients, endpoints and the platform, as far as the rules need them."""
 
     def __init__(self, now: Callable[[], int]) -> None:
@@ -208,7 +208,7 @@
     """Stands in for the pool of connections: calls are out until the test ends them."""
 
     engine: Engine
-    rules: Rules
+    oracle: Oracle
     out: int = 0
     calls: dict[tuple[str, int], Call] = field(default_factory=dict)
     waits: dict[tuple[int, int], int] = field(default_factory=dict)
@@ -228,7 +228,7 @@
             attempt = Attempt(item.id, item.attempt, item.leave_by_us, item.due_us)
             route = Route(call.target in self.where, self.waits.get(call.place, 0))
             if self.engine.rules.may_send(attempt, route, self.engine.clock(), others) is None:
-                self.rules.sent(item.id)
+                self.oracle.sent(item.id)
             else:
                 self.tell(call, item, i.Outcome.NOT_SENT)
 
@@ -247,7 +247,7 @@
     def end(self, name: str, outcome: i.Outcome) -> None:
         """The endpoint's answer, or what stands for it."""
         call = next(call for (message, _), call in self.calls.items() if message == name)
-        self.rules.ended(name, outcome)
+        self.oracle.ended(name, outcome)
         self.tell(call, call.open[name], outcome)
 
     def overdue(self) -> list[str]:
@@ -280,7 +280,7 @@
         self.now_us, self.transport = EPOCH_US, OpenTransport()
         (folder / "state").mkdir()
         self.config = configuration(folder)
-        self.rules = Rules(lambda: self.now_us)
+        self.oracle = Oracle(lambda: self.now_us)
         self.busy: set[str] = set()
         """Keys whose last message has no answer yet: the next is handed in once it has."""
         self.doors: dict[str, Door] = {}
@@ -322,7 +322,7 @@
         engine.store.monotonic_s = lambda: self.now_us / SECOND
         engine.schedule = lambda: None  # type: ignore[method-assign]
         engine.set_timer = lambda at_us, token: None  # type: ignore[method-assign]
-        self.calls = Calls(engine, self.rules)
+        self.calls = Calls(engine, self.oracle)
         engine.pool = engine.effects.pool = self.calls  # type: ignore[assignment]
         engine.watch = engine.notices = Quiet()  # type: ignore[assignment]
         engine.serving()
@@ -337,13 +337,13 @@
     def keep(self) -> None: ...
 
     def hand_in(self, name: str, cls: str, key: str, left_us: int) -> None:
-        self.rules.fates[name] = Fate(key, cls, self.now_us + left_us)
+        self.oracle.fates[name] = Fate(key, cls, self.now_us + left_us)
         self.busy.add(key)
 
         def answered(status: int) -> None:
             self.busy.discard(key)
             self.doors.pop(name, None)
-            self.rules.answered(name, status)
+            self.oracle.answered(name, status)
 
         known = next(c for c in self.config.settings.classes if c.name == cls)
         destination = 1 + len(name + key) % 2
@@ -354,8 +354,8 @@
     def give_up(self, name: str) -> None:
         """A client that has no answer yet closes its connection."""
         door = self.doors.pop(name)
-        self.busy.discard(self.rules.fates[name].key)
-        self.rules.withdrawn(name)
+        self.busy.discard(self.oracle.fates[name].key)
+        self.oracle.withdrawn(name)
         if door.left is not None:
             door.left()
 
@@ -389,13 +389,13 @@
         """Messages that were taken on, are past their time, and have no end that is told or waits to be."""
         old_us = self.now_us - LATE_US
         owed = self.engine.store.owed
-        return [name for name in self.rules.unended() if self.rules.fates[name].due_us < old_us and name not in owed]
+        return [name for name in self.oracle.unended() if self.oracle.fates[name].due_us < old_us and name not in owed]
 
     def notify(self, heard: bool) -> None:
         """The platform is told what is owed; whether its answer comes back is the caller's to say."""
         owed = self.engine.owed_ends()
         for name, notice in owed.items():
-            self.rules.notified(name, notice.state)
+            self.oracle.notified(name, notice.state)
         if heard:
             self.engine.acknowledged([*owed])
 
@@ -412,9 +412,9 @@
 
     def kill(self) -> None:
         """SIGKILL: calls that are out may run on, and clients without an answer have none to come."""
-        for name, fate in self.rules.fates.items():
+        for name, fate in self.oracle.fates.items():
             if fate.out:
-                self.rules.ended(name, i.Outcome.RESET)
+                self.oracle.ended(name, i.Outcome.RESET)
             if not fate.answered:
                 fate.answered = True
         self.busy.clear()
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -328,10 +328,7 @@
         self.frozen = self.closed = True
         for part in self.parts:
             self.supervisor.guard(part.name, part.cut)
-        try:
-            await self.server.finish()
-        except Exception as error:
-            self.supervisor.failed("answers at the end", error)
+        await self.supervisor.guarded("answers at the end", self.server.finish())
         for name, close in (
             ("server", self.server.close),
             ("control", self.control.close),
--- a/lemonshunt/net/handover.py
+++ b/lemonshunt/net/handover.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import base64
-from collections.abc import Awaitable
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
@@ -97,7 +96,7 @@
     for told in pool["idle"]:
         sock = handed.socket(numbers[told["connection"]])
         adopting = engine.pool.adopt_idle(told["target"], sock, told["idle_us"])
-        await _adopted(engine, "hand-over of a connection", adopting)
+        await engine.supervisor.guarded("hand-over of a connection", adopting)
 
 
 async def _adopt_call(engine: Engine, handed: HandoverState, told: dict[str, Any], numbers: list[int]) -> None:
@@ -125,7 +124,7 @@
         engine.send_away()
     for door in told["doors"]:
         sock = handed.socket(door.pop("fd"))
-        await _adopted(engine, "hand-over of a client", engine.server.adopt(sock, door))
+        await engine.supervisor.guarded("hand-over of a client", engine.server.adopt(sock, door))
     for number in told["controls"]:
         listener = engine.control.listen(handed.socket(number))
         if listener.where() != engine.config.control:
@@ -133,13 +132,5 @@
     for caller in told["callers"]:
         sock = handed.socket(caller["fd"])
         adopting = engine.control.adopt(sock, base64.b64decode(caller["line"]))
-        await _adopted(engine, "hand-over of an operator", adopting)
+        await engine.supervisor.guarded("hand-over of an operator", adopting)
     handed.close()
-
-
-async def _adopted(engine: Engine, name: str, adopting: Awaitable[None]) -> None:
-    """One connection that cannot be gone on with costs itself alone."""
-    try:
-        await adopting
-    except OSError as error:
-        engine.supervisor.failed(name, error)
--- a/lemonshunt/net/supervise.py
+++ b/lemonshunt/net/supervise.py
@@ -62,6 +62,15 @@
             return False
         return True
 
+    async def guarded(self, name: str, step: Awaitable[object]) -> bool:
+        """As `guard`, of a step that waits."""
+        try:
+            await step
+        except Exception as error:
+            self.failed(name, error)
+            return False
+        return True
+
     def repeat(self, name: str, interval_s: float, step: Callable[[], object]) -> Repeating:
         return Repeating(self, name, interval_s, step)
 
--- a/tests/test_order_model.py
+++ b/tests/test_order_model.py
@@ -120,7 +120,7 @@
     @invariant()
     def breaks_no_rule(self) -> None:
         assert self.single.left_without_end() == []
-        assert self.single.rules.broken == []
+        assert self.single.oracle.broken == []
         assert "violations: none" in self.single.engine.operators.rules()
 
 
@@ -142,7 +142,7 @@
     for _ in range(300):
         single.pass_time(20 * MS)
         single.notify(heard=True)
-    assert not single.rules.unended() and any(fate.delivered for fate in single.rules.fates.values())
+    assert not single.oracle.unended() and any(fate.delivered for fate in single.oracle.fates.values())
     single.close()
 
 
@@ -159,7 +159,7 @@
     for _ in range(20):
         single.pass_time(20 * MS)
     assert [name for name, _ in single.calls.calls] == ["m1"]
-    assert "violations: none" in single.engine.operators.rules() and single.rules.broken == []
+    assert "violations: none" in single.engine.operators.rules() and single.oracle.broken == []
     single.calls.end("m1", i.Outcome.DELIVERED)
     for _ in range(20):
         single.pass_time(20 * MS)
