--- a/lab/soak.py
+++ b/lab/soak.py
@@ -30,6 +30,8 @@
     "send": ("ETIMEDOUT", "EHOSTUNREACH"),
     "client-recv": ("ENOBUFS", "ENOMEM"),
     "client-send": ("ENOBUFS", "ENOMEM"),
+    "epoll_ctl": ("ENOMEM", "ENOSPC"),
+    "poll": ("ENOMEM",),
     "short": ("EIO",),
 }
 KEY_REST_S = 1.0
@@ -84,7 +86,7 @@
 
 
 def _file_errors(chance: random.Random, at_s: float) -> Fault:
-    call = chance.choice(("write", "write", "open", "ftruncate", "replace", "unlink", "close"))
+    call = chance.choice(("write", "write", "open", "ftruncate", "replace", "unlink", "close", "read"))
     return Fault(
         at_s=at_s,
         kind="errors",
