Number endpoints without going through all of them

Change: the names that are gone are kept apart, in their order, and only a new name costs an old one.

--- a/lemonshunt/net/targets.py
+++ b/lemonshunt/net/targets.py
@@ -22,6 +22,8 @@
         """Those that are listed now, by name."""
         self.numbers = dict(numbers)
         self.names = {number: name for name, number in self.numbers.items()}
+        self._gone = dict.fromkeys(self.numbers)
+        """Those of them that are not listed, the one that is gone longest first."""
         self.destinations = set(destinations)
         """All that were ever listed."""
         self._newest_number = max(self.names, default=0)
@@ -33,26 +35,36 @@
     def take(self, told: HostList) -> None:
         """Follow the list, whole or in part."""
         if told.whole:
+            self._gone.update(dict.fromkeys(name for name in self.hosts if name in self.numbers))
             self.hosts = {}
         for host in told.hosts:
             self.destinations.add(host.destination)
-            if host.health == "removed":
-                self.hosts.pop(host.name, None)
-            else:
+            self._gone.pop(host.name, None)
+            if host.health != "removed":
                 self.hosts[host.name] = host
+                continue
+            self.hosts.pop(host.name, None)
+            if host.name in self.numbers:
+                self._gone[host.name] = None
 
     def number(self, name: str, keep: Container[str] = ()) -> int:
         """The number of an endpoint. Those long gone are forgotten, the oldest first, but none of `keep`."""
-        if len(self.numbers) > MOST_TARGETS:
-            old = next((known for known in self.numbers if known not in self.hosts and known not in keep), None)
-            if old is not None:
-                del self.names[self.numbers.pop(old)]
         if name not in self.numbers:
+            if len(self.numbers) >= MOST_TARGETS:
+                self._forget_one(keep)
             self._newest_number += 1
             self.numbers[name] = self._newest_number
             self.names[self._newest_number] = name
+            if name not in self.hosts:
+                self._gone[name] = None
         return self.numbers[name]
 
+    def _forget_one(self, keep: Container[str]) -> None:
+        old = next((name for name in self._gone if name not in keep), None)
+        if old is not None:
+            del self._gone[old]
+            del self.names[self.numbers.pop(old)]
+
     def entries(self, hosts: Iterable[Host], keep: Container[str] = ()) -> tuple[i.TargetEntry, ...]:
         """A list, as the decisions read it."""
         return tuple(host.entry(self.number(host.name, keep)) for host in hosts)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import struct
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -14,12 +15,13 @@
 from lemonshunt.choice import Dispatcher
 from lemonshunt.net.client import Call, Connection, Item, Pool
 from lemonshunt.net.clock import Clock
-from lemonshunt.net.config import Address, load
+from lemonshunt.net.config import Address, HostList, host_list, load
 from lemonshunt.net.control import Control
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.listen import bind
 from lemonshunt.net.server import ClientConnection, Server, Submission
 from lemonshunt.net.store import MOST_ENDED, AcceptedMessage, Store
+from lemonshunt.net.targets import MOST_TARGETS, TargetTable
 from lemonshunt.net.upgrade import Ownership
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Peer, Request, Skewed, always, hang, message
@@ -146,6 +148,46 @@
     assert len(d.targets) <= 2001 and 2999 in d.targets
 
 
+class CountedNames(dict[str, int]):
+    """Numbers by name, and how often somebody goes through all of them."""
+
+    scans = 0
+
+    def __iter__(self) -> Iterator[str]:
+        self.scans += 1
+        return super().__iter__()
+
+
+def listed(seq: int, names: list[str], whole: bool = False, health: str = "up") -> HostList:
+    hosts = [{"host": name, "dial": "127.0.0.1:9", "block": 7, "health": health} for name in names]
+    return host_list({"seq": seq, "whole": whole, "hosts": hosts})
+
+
+def test_a_change_of_one_endpoint_goes_through_no_others() -> None:
+    table = TargetTable((), {}, ())
+    table.numbers = counted = CountedNames()
+    names = [f"s{n}" for n in range(3200)]
+    table.take(listed(1, names, whole=True))
+    assert len(table.serving(())) == len(names)
+    for n in range(20):
+        table.take(listed(2 + n, [names[n]], health="draining"))
+        table.entries(table.hosts.values())
+    assert len(table.serving(())) == len(names) - 20 and counted.scans == 0
+
+
+def test_endpoints_replaced_for_months_are_forgotten_and_none_that_is_listed_or_kept() -> None:
+    table = TargetTable((), {}, ())
+    kept = table.number("banned")
+    for n in range(3000):
+        table.take(listed(2 * n, [f"s{n}"]))
+        table.entries(table.hosts.values(), {"banned"})
+        table.take(listed(2 * n + 1, [f"s{n}"], health="removed"))
+    table.take(listed(6001, ["s2999"]))
+    assert len(table.numbers) <= MOST_TARGETS and len(table.names) == len(table.numbers)
+    assert table.number("banned", {"banned"}) == kept
+    assert table.names[table.number("s2999")] == "s2999" and table.number("s2998") != table.number("s0")
+
+
 def test_idle_connection_is_closed_before_its_target_would() -> None:
     """The module closes some by itself; the pool must close what it leaves."""
     async def scene() -> None:
