Block signals before the loop takes its handlers back

Change: SIGHUP, SIGTERM and SIGINT are blocked once the engine has ended. Ruled out: the start, and the hand-over, which ends by _exit in one step.

--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -23,6 +23,8 @@
 
 READ_PATIENCE_S = 20.0  # a start has to be ready within 30 s
 READ_AGAIN_S = 0.2
+SIGNALS = frozenset({signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
+"""Those that are heeded while it runs, and no more once it ends."""
 Made = TypeVar("Made")
 log = logging.getLogger("lemonshunt")
 
@@ -91,7 +93,11 @@
     if hups:
         loop.call_soon(engine.reload)
     gc.freeze()  # what is made at the start stays: it need not be looked through again and again
-    await engine.run()
+    try:
+        await engine.run()
+    finally:
+        # As it closes, the loop takes its handlers back: a signal from here on would end the process by itself.
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
 
 def turned_on(arguments: Sequence[str], config: Config) -> list[Maker]:
--- a/tests/test_incident_lost_and_order.py
+++ b/tests/test_incident_lost_and_order.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
 from contextlib import suppress
@@ -192,6 +193,25 @@
     play(scene, tmp_path)
 
 
+@pytest.mark.parametrize("first", [signal.SIGTERM, signal.SIGINT])
+def test_signals_in_series_end_no_process_by_themselves(tmp_path: Path, first: int) -> None:
+    """Found by the soak: SIGHUP as the process was ending, its handlers taken back already."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(OK))
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("m", "status"))[0] == 202
+        await asyncio.sleep(0.2)
+        node.process.send_signal(first)
+        async with asyncio.timeout(PATIENCE):
+            while node.process.returncode is None:
+                for again in (signal.SIGHUP, signal.SIGTERM):
+                    with suppress(ProcessLookupError):
+                        os.kill(node.process.pid, again)  # send_signal() would reap it, and its status with it
+                await asyncio.sleep(0.001)
+        assert node.process.returncode == 0
+    play(scene, tmp_path)
+
+
 SMALL_WINDOW = 4096
 LARGER_THAN_THE_WINDOW = b"x" * 30_000
 
