Count a request's time from when its connection may have been queued, in slow turns too

A connection's wait in the listening socket's queue was known only where accepting was paused, not where a turn of the loop left some of the queue for the next; and it was applied to nothing, since the first poll that watches a connection begins after the moment that was taken for the beginning of its watch.

Change: Listener remembers since when its queue may hold connections, until it is found empty. A connection keeps "since when something may lie unread" until a poll that watches it has returned. That also ends it after a pause in reading: a request that came long after one was taken for one of the pause, and was given that much time too little.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -72,11 +72,9 @@
         """Whether the client does not read its answers."""
         self._handed_over = handed_over
         self._peer_ended = False
-        self._watched_since_us = now_us
-        """Since when the event loop watches it."""
-        self._unread_since_us = now_us - min(accept_delay_us, CLIENT_TIMEOUT_US)
-        """Since when something may lie unread that the loop has not reported. No client waits for longer than its
-        time-out, so what is open now is no older than that."""
+        self._unread_since_us: int | None = now_us - min(accept_delay_us, CLIENT_TIMEOUT_US)
+        """Since when something may lie unread of which the event loop could not tell; None while it could. No client
+        waits for longer than its time-out, so what is open now is no older than that."""
 
     # Called by the event loop
 
@@ -87,6 +85,7 @@
         self.server.connection_opened(self)
         if self._handed_over is not None:
             self._restore(self._handed_over)
+        self._expect_first_poll()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Withdraws the current request; called by the event loop."""
@@ -249,9 +248,7 @@
         if self.parser.partial is not None:
             self.parser.partial.arrived_us = handed_over.request_began_us
         self.last_used_us = handed_over.last_used_us
-        if handed_over.handed_over_at_us is None:
-            self._unread_since_us = self._watched_since_us
-        else:
+        if handed_over.handed_over_at_us is not None:
             self._unread_since_us = handed_over.handed_over_at_us
 
     # Internal steps
@@ -259,11 +256,24 @@
     def _earliest_arrival_us(self) -> int:
         """Returns when what is read now may have arrived, at the earliest."""
         arrived_us = self.last_used_us - waited_us()
-        if arrived_us <= self._watched_since_us or self._unread_since_us > self._watched_since_us:
+        if self._unread_since_us is not None:
             arrived_us = min(arrived_us, self._unread_since_us)
-        self._unread_since_us = self._watched_since_us
+            self._unread_since_us = None
         return arrived_us
 
+    def _expect_first_poll(self) -> None:
+        """Forgets since when something may lie unread, once a poll of the event loop has looked at the connection.
+
+        The next turn begins with the first such poll, and what it reports is read in that turn. What a later poll
+        reports has come since.
+        """
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, self._forget_unread)
+
+    def _forget_unread(self) -> None:
+        if self.transport is not None and not self.transport.is_closing() and self.transport.is_reading():
+            self._unread_since_us = None
+
     def _answer_next(self) -> None:
         while self.current_request is None and self.waiting and self.transport is not None and not self.writing_paused:
             self.current_request = self.waiting.popleft()
@@ -279,6 +289,7 @@
             transport.pause_reading()
         elif not transport.is_reading():
             transport.resume_reading()
+            self._expect_first_poll()
 
     def _continue(self) -> None:
         if self.transport is not None and self.current_request is None:
--- a/forwarder/clients/listener.py
+++ b/forwarder/clients/listener.py
@@ -142,7 +142,10 @@
         self.free_slots = free_slots
         self.on_shortage = on_shortage
         self.attaching: dict[PatientSocket, asyncio.Task[None]] = {}
-        self._paused_since_s: float | None = None
+        self._queued_since_s: float | None = None
+        """Since when connections may lie in the kernel's queue; None once it was found empty."""
+        self._queue_poll = select.poll()
+        self._queue_poll.register(self.sock, select.POLLIN)
         self.sock.setblocking(False)
         self.sock.listen(backlog)
         self._resume()
@@ -176,11 +179,11 @@
         """Accepts nothing for some time; connections wait in the kernel."""
         loop = asyncio.get_running_loop()
         loop.remove_reader(self.sock)
-        if self._paused_since_s is None:
-            self._paused_since_s = loop.time()
         loop.call_later(pause_s, self._resume)
 
     def _accept(self) -> None:
+        if self._queued_since_s is None:
+            self._queued_since_s = asyncio.get_running_loop().time() - waited_us() / SECOND_US
         free_slots = self.free_slots()
         if free_slots <= 0:
             self._pause(FULL_PAUSE_S)
@@ -189,7 +192,7 @@
             try:
                 accepted, _ = self.sock.accept()
             except BlockingIOError:
-                self._paused_since_s = None
+                self._queued_since_s = None
                 return
             except OSError as error:
                 if error.errno in ERRORS_OF_ONE_CONNECTION:
@@ -200,6 +203,8 @@
             sock.setblocking(False)
             attaching = self.attach(sock, self._accept_delay_us())
             self.attaching[sock] = asyncio.get_running_loop().create_task(attaching)
+        if ready_now(self._queue_poll) == []:
+            self._queued_since_s = None
 
     def _accept_failed(self, error: OSError) -> None:
         """No connection can be accepted, most likely for want of descriptors."""
@@ -210,8 +215,6 @@
         self._pause(FAILURE_PAUSE_S)
 
     def _accept_delay_us(self) -> int:
-        """Returns how long the connections that are accepted now may have waited."""
-        paused_s = 0.0
-        if self._paused_since_s is not None:
-            paused_s = asyncio.get_running_loop().time() - self._paused_since_s
-        return max(waited_us(), int(paused_s * SECOND_US))
+        """Returns how long a connection that is accepted now may have waited: at most since the queue was empty."""
+        assert self._queued_since_s is not None
+        return int((asyncio.get_running_loop().time() - self._queued_since_s) * SECOND_US)
