Keep clients' connections in the order of their eviction: one costs the same in a crowd

Cause: ClientServer filtered and sorted all connections for each one evicted.

Change: EvictionOrder holds connections in two ordered dictionaries, brought up to date at each use; an eviction looks at the front, at 32 at most where requests lie unread. What cannot be closed now goes to the back. The order is the one of before, but that among connections without a request the oldest goes first, where it was the one that had sent a byte longest ago.

Evidence: tests/clients/test_eviction_order.py counts the connections looked at: the same for 100 evictions at 50 and at 500 open ones (each looked at all, 50 and 500, before); at most 32 where none may be closed. tests/clients: 36 passed.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -34,6 +34,9 @@
     def connection_opened(self, connection: ClientConnection) -> None:
         """A connection begins."""
 
+    def connection_used(self, connection: ClientConnection) -> None:
+        """Something was read from a connection, or written to it."""
+
     def connection_closing(self, connection: ClientConnection) -> None:
         """A connection is closed here, and its descriptor is not free yet."""
 
@@ -124,6 +127,7 @@
         self.waiting.extend(requests)
         if any(request.method for request in requests):  # one that cannot be read has none
             self.has_sent_request = True
+        self.server.connection_used(self)
         self._answer_next()
 
     def pause_writing(self) -> None:
@@ -134,6 +138,7 @@
         """Goes on with a client that has read its answers; called by the event loop."""
         self.writing_paused = False
         self.last_used_us = self.server.clock()
+        self.server.connection_used(self)
         self._answer_next()
 
     # State
@@ -168,6 +173,7 @@
         keep_alive = request.keep_alive and not self.server.draining and not self._peer_ended
         self.transport.write(_render_answer(request, status, text, headers, keep_alive))
         self.last_used_us = self.server.clock()
+        self.server.connection_used(self)
         loop = asyncio.get_running_loop()
         if self.parser.is_broken and not self.waiting:
             # The client may still be sending: closed now, it would be reset before it has read its answer.
@@ -250,6 +256,7 @@
         self.last_used_us = handed_over.last_used_us
         if handed_over.handed_over_at_us is not None:
             self._unread_since_us = handed_over.handed_over_at_us
+        self.server.connection_used(self)
 
     # Internal steps
 
--- a/forwarder/clients/server.py
+++ b/forwarder/clients/server.py
@@ -9,6 +9,7 @@
 
 from forwarder.clients.arrival_time import PatientSocket
 from forwarder.clients.client_connection import ClientConnection
+from forwarder.clients.eviction_order import EvictionOrder
 from forwarder.clients.listener import Listener, descriptor, unread
 from forwarder.clients.submission import BadRequestError, ClientRequest, Submission, parse_submission
 from forwarder.decisions.settings import Settings
@@ -20,6 +21,7 @@
 STALL_TIMEOUT_US = 2_000_000  # how long a peer may send no request, or only a part of one (PROTOCOL: 3 s)
 MAX_OVERSHOOT = 16  # connections over the bound: a new one is accepted before another is closed for it
 SHORTAGE_EVICTIONS = 8  # connections closed at once where the process is short of descriptors
+MAX_EVICTION_LOOKS = 32  # connections looked at for one that may be closed to make room
 NEW_CONNECTION_US = 500_000  # how long the first request of a new connection is waited for
 SWEEP_INTERVAL_S = 0.25
 FLUSH_TIMEOUT_S = 0.2  # how long answers have to leave as the process ends
@@ -44,6 +46,7 @@
     Attributes:
         connections: all connections that hold a descriptor.
         closing: those of them that are closed here, and whose descriptors are not free yet.
+        eviction_order: the others, by how soon they are closed to make room.
         draining: whether clients are sent away.
         closed: whether the process ends.
     """
@@ -65,6 +68,7 @@
         self.supervisor = supervisor or Supervisor()
         self.connections: set[ClientConnection] = set()
         self.closing: set[ClientConnection] = set()
+        self.eviction_order: EvictionOrder[ClientConnection] = EvictionOrder()
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # shared: what is read is copied at once
         self.draining = False
         self.closed = False
@@ -127,8 +131,8 @@
         All that hold a descriptor count, those that are closing too: what is closed gives its descriptor back in the
         event loop's next turn, and until then a burst would find none.
         """
-        while self._is_over_bound() and (candidate := self._eviction_candidate()) is not None:
-            candidate.evict("too many clients")
+        while self._is_over_bound() and self._evict("too many clients"):
+            pass
         attaching = 0 if self.listener is None else len(self.listener.attaching)
         return self.max_connections + MAX_OVERSHOOT - len(self.connections) - attaching
 
@@ -138,46 +142,48 @@
         One whose request waits unread stays: nothing more is accepted until others have gone.
         """
         self.connections.add(connection)
-        if not self._is_over_bound():
-            return
-        candidate = self._eviction_candidate(connection)
-        if candidate is None and not self._unread([connection]):
-            candidate = connection
-        if candidate is not None:
-            candidate.evict("too many clients")
+        if self._is_over_bound() and not self._evict("too many clients") and not self._unread([connection]):
+            connection.evict("too many clients")
+        else:
+            self.eviction_order.note_use(connection)
+
+    def connection_used(self, connection: ClientConnection) -> None:
+        """Notes that something was read from a connection, or written to it."""
+        if connection not in self.closing:
+            self.eviction_order.note_use(connection)
 
     def connection_closing(self, connection: ClientConnection) -> None:
         """Notes that a connection is closed here."""
         self.closing.add(connection)
+        self.eviction_order.discard(connection)
 
     def connection_ended(self, connection: ClientConnection) -> None:
         """Forgets a connection whose descriptor is free."""
         self.connections.discard(connection)
         self.closing.discard(connection)
+        self.eviction_order.discard(connection)
 
     def evict_for_descriptors(self, error: OSError) -> None:
         """Closes some idle connections where no descriptor is to be had: without one nothing is accepted or sent."""
         self.reasons.note(Subject.REFUSAL, f"cannot accept: {error.strerror}")
-        for _ in range(SHORTAGE_EVICTIONS):
-            candidate = self._eviction_candidate()
-            if candidate is None:
-                return
-            candidate.evict("short of descriptors")
+        evictions = 0
+        while evictions < SHORTAGE_EVICTIONS and self._evict("short of descriptors"):
+            evictions += 1
 
     def _is_over_bound(self) -> bool:
         return len(self.connections) - len(self.closing) > self.max_connections
 
-    def _eviction_candidate(self, new: ClientConnection | None = None) -> ClientConnection | None:
-        """Returns the connection to close first, other than `new`; None where none can be closed.
+    def _evict(self, reason: str) -> bool:
+        """Closes one connection to make room; returns False where none of those that were looked at may be closed.
 
-        First comes one that is silent or in the middle of its first request, and not quite new; then the one between
-        requests that has been idle for longest; then the oldest without a request. None that waits for an answer, and
-        none with a request that lies unread in the kernel.
+        None is closed that waits for an answer, and none with a request that lies unread in the kernel.
         """
         new_since_us = self.clock() - NEW_CONNECTION_US
-        candidates = [each for each in self.connections - self.closing if each is not new and _is_evictable(each)]
-        candidates.sort(key=lambda each: _eviction_rank(each, new_since_us))
-        return next((each for each in candidates if not self._unread([each])), None)
+        for connection in self.eviction_order.propose(new_since_us, MAX_EVICTION_LOOKS):
+            if _is_evictable(connection) and not self._unread([connection]):
+                connection.evict(reason)
+                return True
+        return False
 
     @staticmethod
     def _unread(connections: Iterable[ClientConnection]) -> set[ClientConnection]:
@@ -238,13 +244,6 @@
     )
 
 
-def _eviction_rank(connection: ClientConnection, new_since_us: int) -> tuple[int, int]:
-    """Returns a key that sorts connections by how soon they are closed to make room, the first at the front."""
-    if connection.has_sent_request:
-        return 1, connection.last_used_us
-    return (0 if connection.opened_us < new_since_us else 2), connection.last_used_us
-
-
 def _is_silent(connection: ClientConnection, since_us: int) -> bool:
     """Returns whether it was opened before a time, and has sent no complete request yet."""
     return not connection.has_sent_request and connection.opened_us < since_us
--- a/forwarder/runtime/handover.py
+++ b/forwarder/runtime/handover.py
@@ -187,6 +187,7 @@
     for client in description.clients:
         sock = handover.socket(client.descriptor)
         await runtime.supervisor.guarded("hand-over of a client", runtime.server.adopt(sock, client.state))
+    runtime.server.eviction_order.sort()
     for number in description.admin_listeners:
         listener = runtime.admin.listen(handover.socket(number))
         if listener.address() != runtime.config.admin:
--- /dev/null
+++ b/tests/clients/test_eviction_order.py
@@ -0,0 +1,114 @@
+"""Which clients' connections are closed to make room, and how many are looked at for that."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass
+
+import pytest
+
+from forwarder.clients.eviction_order import EvictionOrder
+from forwarder.clients.listener import bind
+from forwarder.clients.server import MAX_EVICTION_LOOKS, ClientServer
+from forwarder.config.config import Address
+from forwarder.protocol.settings_format import parse_settings
+from forwarder.storage.clock import Clock
+from tests.clients.peers import reject_all
+from tests.nodes import SETTINGS
+from tests.sockets import PATIENCE
+
+NEWCOMERS = 100
+NEW_SINCE_US = 100
+
+
+@dataclass(eq=False)
+class FakeConnection:
+    name: str
+    opened_us: int
+    last_used_us: int = 0
+    has_sent_request: bool = False
+
+
+def names(order: EvictionOrder[FakeConnection], max_looks: int = 100) -> str:
+    return "".join(each.name for each in order.propose(NEW_SINCE_US, max_looks))
+
+
+def test_silent_ones_go_first_then_those_idle_for_longest_then_new_ones() -> None:
+    order: EvictionOrder[FakeConnection] = EvictionOrder()
+    used = [FakeConnection(name, 0, has_sent_request=True) for name in "abc"]
+    silent = [FakeConnection("s", 10), FakeConnection("t", 20)]
+    new = FakeConnection("n", NEW_SINCE_US)
+    for each in (*used, *silent, new):
+        order.note_use(each)
+    order.note_use(used[0])
+    order.note_use(silent[0])
+    assert names(order) == "stbcanst"
+
+
+def test_what_could_not_be_closed_is_proposed_after_all_others_next_time() -> None:
+    order: EvictionOrder[FakeConnection] = EvictionOrder()
+    for name in "abcd":
+        order.note_use(FakeConnection(name, 0, has_sent_request=True))
+    assert names(order, 2) == "ab"
+    assert names(order, 2) == "cd"
+    assert order.looks == 4
+
+
+def test_handed_over_ones_are_sorted_by_their_last_use() -> None:
+    order: EvictionOrder[FakeConnection] = EvictionOrder()
+    for name, last_used_us in (("c", 3), ("a", 1), ("b", 2)):
+        order.note_use(FakeConnection(name, 0, last_used_us, has_sent_request=True))
+    order.sort()
+    assert names(order) == "abc"
+
+
+async def looks_for_newcomers(max_connections: int) -> int:
+    """Returns how many connections are looked at while newcomers take the places of others."""
+    server = ClientServer(parse_settings(SETTINGS), Clock(), max_connections, reject_all)
+    sock = await bind(Address("127.0.0.1", 0))
+    server.listen(sock)
+    clients = []
+    async with asyncio.timeout(PATIENCE):
+        for count in (max_connections, NEWCOMERS):
+            for _ in range(count):
+                clients.append(socket.create_connection(sock.getsockname()))
+                clients[-1].send(b"GET /up HTTP/1.1\r\n\r\n")
+                assert await asyncio.get_running_loop().run_in_executor(None, clients[-1].recv, 1000)
+    assert len(server.connections) <= max_connections
+    for client in clients:
+        client.close()
+    server.close()
+    return server.eviction_order.looks
+
+
+def test_an_eviction_looks_at_no_more_connections_where_more_are_open() -> None:
+    """Guards against `lost` in a crowd: each eviction sorted all connections, and requests waited for that."""
+    looks = [asyncio.run(looks_for_newcomers(max_connections)) for max_connections in (50, 500)]
+    assert looks[0] >= NEWCOMERS
+    assert looks[1] <= looks[0]
+
+
+@pytest.mark.parametrize("max_connections", [50, 500])
+def test_an_eviction_looks_at_few_where_all_have_requests_unread(max_connections: int) -> None:
+    """Guards against the same cost where none may be closed just now."""
+
+    async def scene() -> None:
+        server = ClientServer(parse_settings(SETTINGS), Clock(), max_connections, reject_all)
+        sock = await bind(Address("127.0.0.1", 0))
+        server.listen(sock)
+        clients = [socket.create_connection(sock.getsockname()) for _ in range(max_connections)]
+        async with asyncio.timeout(PATIENCE):
+            while len(server.connections) < max_connections:
+                await asyncio.sleep(0.01)
+        for client in clients:
+            client.send(b"GET /up HTTP/1.1\r\n\r\n")
+        looks = server.eviction_order.looks
+        server.evict_for_descriptors(OSError(24, "Too many open files"))
+        assert server.eviction_order.looks - looks <= MAX_EVICTION_LOOKS
+        assert not server.closing
+        for client in clients:
+            client.close()
+        server.close()
+
+    asyncio.run(scene())
