Hold a call back where its connection cannot be looked at: that says nothing of its end

What callers saw: messages returned unsent, of the classes that may be repeated. With poll(2) failing (ENOMEM) for 0.9 s a call's connection counted as one with unread bytes: it was closed, and the try counted as the endpoint's failure; a new connection a millisecond later fared the same, so six tries were used up within some 35 ms.

Cause: EndpointConnection._has_unread took None of ready_now ("cannot tell") for "something is there"; pool.start and _connect_and_send made NO_CONNECTION of that, which costs an attempt and tells of an outage.

Change: send() says what became of the request (SendResult).

--- a/forwarder/endpoints/connection.py
+++ b/forwarder/endpoints/connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
 import select
 import socket
@@ -25,6 +26,17 @@
 log = logging.getLogger("forwarder.client")
 
 
+class SendResult(enum.Enum):
+    """What became of a request that was to be written on a connection."""
+
+    WRITTEN = enum.auto()
+    """It was handed to the socket, or waits for room there."""
+    CONNECTION_DEAD = enum.auto()
+    """No byte has left: the connection had ended, or something had come on it that nothing asked for."""
+    NOT_CHECKED = enum.auto()
+    """No byte has left: the kernel could not tell whether something had come. The connection is as it was."""
+
+
 class CallObserver(Protocol):
     """Is told what becomes of the call on a connection."""
 
@@ -120,27 +132,28 @@
         """Returns whether the connection is closed, or about to be."""
         return self.transport is None or self.transport.is_closing()
 
-    def send(self, call: EndpointCall, request: bytes) -> bool:
-        """Writes the request of a call.
+    def send(self, call: EndpointCall, request: bytes) -> SendResult:
+        """Writes the request of a call, unless bytes or an end wait in the kernel.
 
-        Returns:
-            False where the connection was dead already, or something has come on it that nothing asked for. Then no
-            byte of the request has left.
+        Read after a call is written, they would be taken for its answer, or for the end of a call that never arrived.
         """
         assert self.transport is not None
-        if self._has_unread():
+        unread = ready_now(self._unread)
+        if unread is None:
+            return SendResult.NOT_CHECKED
+        if unread:
             self.close(UNREQUESTED_DATA)
-            return False
+            return SendResult.CONNECTION_DEAD
         self.reader.renew()
         self.received.clear()
         self._answered = False
         self.transport.write(request)
         if self.transport.is_closing():
-            return False
+            return SendResult.CONNECTION_DEAD
         self.current_call = call
         call.connection = self
         call.written = self.transport.get_write_buffer_size() == 0
-        return True
+        return SendResult.WRITTEN
 
     def give_up(self, outcome: Outcome) -> None:
         """Stops waiting for the answer to the call in flight.
@@ -207,13 +220,6 @@
         else:
             self.close("not kept alive by the endpoint")
 
-    def _has_unread(self) -> bool:
-        """Returns whether bytes or an end may wait in the kernel.
-
-        Read after a call is written, they would be taken for its answer, or for the end of a call that never arrived.
-        """
-        return ready_now(self._unread) != []
-
     def _reset_on_close(self, reset: bool) -> None:
         sock = None if self.transport is None else self.transport.get_extra_info("socket")
         if sock is not None:
--- a/forwarder/endpoints/idle_connections.py
+++ b/forwarder/endpoints/idle_connections.py
@@ -40,6 +40,10 @@
         if self.sweeping is None:
             self.sweeping = self.supervisor.repeat("sweep of idle connections", SWEEP_INTERVAL_S, self._sweep)
 
+    def put_back(self, connection: EndpointConnection, endpoint: int) -> None:
+        """Keeps a connection that was taken out and not used; it has been idle for as long as before."""
+        self.by_endpoint.setdefault(endpoint, []).append(connection)
+
     def pop(self, endpoint: int) -> EndpointConnection | None:
         """Takes out the connection to an endpoint that was used last; None where there is none."""
         idle = self.by_endpoint.get(endpoint)
--- a/forwarder/endpoints/pool.py
+++ b/forwarder/endpoints/pool.py
@@ -10,7 +10,7 @@
 from forwarder.config.config import Address
 from forwarder.decisions.outcomes import Outcome
 from forwarder.endpoints.call import CallItem, CallResult, EndpointCall
-from forwarder.endpoints.connection import EndpointConnection
+from forwarder.endpoints.connection import EndpointConnection, SendResult
 from forwarder.endpoints.idle_connections import IdleConnections
 from forwarder.endpoints.in_flight_calls import AttemptSink, InFlightCalls
 from forwarder.endpoints.local_errors import LOCAL_ERRORS
@@ -133,11 +133,23 @@
         self.in_flight.finish(call, result)
 
     def _send_on_idle(self, call: EndpointCall) -> bool:
+        """Sends a call on an idle connection. Returns False where there is none that can be used."""
         while (connection := self.idle.pop(call.endpoint)) is not None:
-            if not connection.is_closing() and connection.send(call, self._render(call)):
+            if connection.is_closing():
+                continue
+            result = connection.send(call, self._render(call))
+            if result is SendResult.NOT_CHECKED:
+                self.idle.put_back(connection, call.endpoint)
+                self._hold_back_unchecked(call)
+            if result is not SendResult.CONNECTION_DEAD:
                 return True
         return False
 
+    def _hold_back_unchecked(self, call: EndpointCall) -> None:
+        """Ends a call whose connection could not be looked at: that says nothing of the endpoint."""
+        self.reasons.note(Subject.HELD_BACK, "call: its connection could not be looked at", call.items[0].id)
+        self.finish(call, CallResult(Outcome.LOCAL_FAILURE))
+
     async def _connect_guarded(self, call: EndpointCall, address: Address) -> None:
         """Connects and sends a call; an unexpected error ends the call, so that its slot is free."""
         if not await self.supervisor.guarded("connect", self._connect_and_send(call, address)):
@@ -162,8 +174,16 @@
             connection.close("not listed any more")
         elif not call.open_items:
             self.keep_idle(connection, call.endpoint)
-        elif not connection.send(call, self._render(call)):
+        else:
+            self._send_on_new(connection, call)
+
+    def _send_on_new(self, connection: EndpointConnection, call: EndpointCall) -> None:
+        result = connection.send(call, self._render(call))
+        if result is SendResult.CONNECTION_DEAD:
             self.finish(call, CallResult(Outcome.NO_CONNECTION))
+        elif result is SendResult.NOT_CHECKED:
+            self._hold_back_unchecked(call)
+            self.keep_idle(connection, call.endpoint)
 
     def _outcome_of_connect_error(self, error: OSError, call: EndpointCall) -> Outcome:
         if error.errno not in LOCAL_ERRORS:
--- /dev/null
+++ b/tests/runtime/test_local_failures.py
@@ -0,0 +1,74 @@
+"""Failures of this machine that last for a while, played on the real program: they cost no message (lab/shim.py)."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from lab.shim import Failure
+from tests.nodes import Node
+from tests.platforms import Platform
+from tests.scenes import end_with_scene, play, received_ids, start_endpoint
+from tests.sockets import OK, always
+
+CLASSES = ("order", "status", "turn", "pay")
+BEFORE_S = 0.3
+FAILING_S = 0.9
+INTERVAL_S = 0.05
+MAX_OPEN_MESSAGES = 1000  # so that none is refused for want of room
+FAILURES = {"poll": "ENOMEM", "connect": "EADDRNOTAVAIL", "socket": "ENFILE", "epoll_ctl": "ENOMEM"}
+
+
+class Clients:
+    """Submit messages of all classes; a connection that the program cannot watch is answered once it can."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.submissions: dict[str, asyncio.Task[tuple[int, dict[str, str]]]] = {}
+
+    async def submit_for(self, duration_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + duration_s
+        while loop.time() < until_s:
+            for message_class in CLASSES:
+                name = f"{message_class}-{len(self.submissions)}"
+                self.submissions[name] = loop.create_task(self.node.submit(name, message_class))
+            await asyncio.sleep(INTERVAL_S)
+
+    async def accepted(self) -> list[str]:
+        answers = await asyncio.gather(*self.submissions.values())
+        return [name for name, (status, _) in zip(self.submissions, answers, strict=True) if status == 202]
+
+
+@pytest.mark.parametrize("kept", [False, True], ids=["new connections", "kept connections"])
+@pytest.mark.parametrize("call", FAILURES)
+def test_what_is_accepted_while_a_call_fails_arrives_once(tmp_path: Path, call: str, kept: bool) -> None:
+    """Guards against messages returned unsent: a look that failed was taken for a connection that had ended."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await start_endpoint(platform, always(OK))
+        node = Node(folder, platform, max_open=MAX_OPEN_MESSAGES)
+        end_with_scene(node)
+        await node.fail()
+        await node.start()
+        clients = Clients(node)
+        await clients.submit_for(BEFORE_S if kept else 0.0)
+        accepted_before = len(await clients.accepted())
+        await peer.wait_until(lambda: len(peer.requests) == accepted_before)
+        closed = peer.closed
+        await node.fail(Failure(call, FAILURES[call]))
+        await clients.submit_for(FAILING_S)
+        if call == "poll" and kept:
+            assert peer.closed == closed, "a failed look costs no idle connection"
+        await node.fail()
+        accepted = await clients.accepted()
+        assert len(accepted) > accepted_before
+        await peer.wait_until(lambda: set(received_ids(peer)) >= set(accepted))
+        await asyncio.sleep(0.3)
+        assert sorted(received_ids(peer)) == sorted(accepted)
+        assert not platform.notices
+        assert "violations: none" in await node.call(b"RULES\n")
+
+    play(scene, tmp_path)
