Leave the outcome of a call whose connection is ending already to that end

What callers saw: a wrong outcome. An answer that had begun and stalled closed its call (UNREADABLE: the endpoint is up); a time-out or a cancellation in the same turn of the loop, before the close was reported, made TIMED_OUT or CANCELED of it.

Cause: InFlightCalls._give_up gave up a call whose connection was closed and not reported closed yet. Change: it leaves a call alone whose connection ends in the loop's next turn anyway (closing, and nothing left to send: with bytes left, a closing connection may stay for ever, and has to be given up still). The same elsewhere: one message of a batch cancelled in that turn, and a cancellation behind the endpoint's own end; both by the same check, with a test of each.

--- a/forwarder/endpoints/connection.py
+++ b/forwarder/endpoints/connection.py
@@ -132,6 +132,10 @@
         """Returns whether the connection is closed, or about to be."""
         return self.transport is None or self.transport.is_closing()
 
+    def is_ending(self) -> bool:
+        """Returns whether the event loop ends the connection in its next turn, whatever is done to it before."""
+        return self.transport is None or (self.transport.is_closing() and not self.transport.get_write_buffer_size())
+
     def send(self, call: EndpointCall, request: bytes) -> SendResult:
         """Writes the request of a call, unless bytes or an end wait in the kernel.
 
--- a/forwarder/endpoints/in_flight_calls.py
+++ b/forwarder/endpoints/in_flight_calls.py
@@ -154,8 +154,11 @@
     def _give_up(self, call: EndpointCall, items: list[CallItem], outcome: Outcome) -> None:
         """Stops waiting for some messages of a call.
 
-        With none left its connection is closed: a late answer must not be taken for the next call's.
+        With none left its connection is closed: a late answer must not be taken for the next call's. A call whose
+        connection is ending already has its outcome by that, in the event loop's next turn.
         """
+        if call.connection is not None and call.connection.is_ending():
+            return
         if call.connection is not None and len(items) == len(call.open_items):
             call.connection.give_up(outcome)
             return
--- a/tests/endpoints/test_in_flight_calls.py
+++ b/tests/endpoints/test_in_flight_calls.py
@@ -335,3 +335,31 @@
     asyncio.run(run())
     how = breaks[0] if came or breaks[0] != "quiet" else "time-out"
     assert [end.outcome for end in ends] == [expected_end(answer, came, how)]
+
+
+@pytest.mark.parametrize("ending", ["answer stalls", "endpoint ends"])
+def test_giving_up_one_message_does_not_change_the_outcome_of_a_call_that_is_ending(ending: str) -> None:
+    """Guards against a wrong outcome: a batch call had ended, and a cancellation came in the same turn of the loop."""
+    ends: list[AttemptEnded] = []
+
+    async def run() -> None:
+        pool = ConnectionPool(Skewed(), ends.append, (), SECOND, SECOND, 10)
+        pool.update_addresses({1: Address("127.0.0.1", 9)})
+        connection, far = EndpointConnection(pool), pool.clock() + DUE_US
+        transport = RecordingTransport(protocol=connection)
+        connection.connection_made(transport)
+        items = [CallItem(name, 0, None, b"x", far, far) for name in "ab"]
+        pool.keep_idle(connection, 1)
+        pool.start(EndpointCall(1, LimitScopeKey(7, -1), pool.clock(), items))
+        connection.data_received(b"HTTP/1.1 2")
+        if ending == "answer stalls":
+            pool.in_flight.answer_stalled(next(iter(pool.in_flight.calls())))
+        else:
+            connection.eof_received()
+            transport.close()
+        pool.cancel("a", 0)
+        await asyncio.sleep(0)
+        pool.idle.by_endpoint.clear()
+
+    asyncio.run(run())
+    assert [(end.message_id, end.outcome) for end in ends] == [("a", Outcome.UNREADABLE), ("b", Outcome.UNREADABLE)]
