Judge a key's order by when messages were handed in, for those nobody heard of too

What was seen: the lab's rule `order` (the listed kills at the narrowest moments): a message was sent although another of its key was accepted and not over. In no run did a caller get an order other than the one in which it had handed in.

Cause, by traces with the moment forced (a client's 202 cannot be sent for 0.7 s, by the shim, and the kill comes 0 to 60 ms after a hand-in): 00005c-5d is handed in at 1.937 s and goes on record, its process is killed at 2.2 s before the 202 left, its client hands it in again as 00005c-9a at 3.454 s, and the process started anew sends -5d, then -9a. The lab's check went through all accepted messages of the key and looked for the sent one among them; one that was never answered is not there, so all that came later counted as before it. Its repetition also counted as a second effect.

Whose is the order? PROTOCOL: "A key's order is the order in which its messages were handed in, across restarts as well." So -5d goes first. And a program cannot leave it out: whether the 202 left is not on record, and a kill may come right behind it. That both take effect is its client's doing: "whatever the forwarder has sent or still sends under the old id counts for nothing". So the program stays as it is, and the judge is mended.

Change: only accepted messages that were handed in before count as before. That is no weaker for any accepted message (clients hand in one of a key at a time), and stricter for unheard ones: they may not pass one that was handed in before them either. An effect under an id whose connection ended unanswered is no second effect; where its process was up, that end is a finding of `lost` as before.

--- a/lab/observed_state.py
+++ b/lab/observed_state.py
@@ -23,6 +23,8 @@
     """What is known of one submission."""
 
     submitted: Event
+    sequence: int = 0
+    """Its place in the order of all submissions."""
     answer: int = 0
     """The status that its client got; 0 for none."""
     refused_at_s: float | None = None
@@ -33,6 +35,8 @@
     """By a call whose answer did not say that it never ran."""
     was_given_up: bool = False
     """Its client has waited long enough: what becomes of it counts for nothing (PROTOCOL)."""
+    was_unanswered: bool = False
+    """Its connection ended without an answer: its client may have handed it in again, under another id."""
     open_calls: set[int] = field(default_factory=set)
 
     @property
@@ -122,7 +126,7 @@
 
     def on_submitted(self, event: Event) -> None:
         """Add a submission."""
-        self.messages[event.id] = MessageState(event)
+        self.messages[event.id] = MessageState(event, sequence=len(self.messages))
 
     def on_submit_answered(self, event: Event) -> None:
         """Note the answer that a client got."""
@@ -136,6 +140,11 @@
         if event.status in ACCEPTED and key is not None:
             self.key_order[(event.node, key)].append(event.id)
 
+    def on_submit_unanswered(self, event: Event) -> None:
+        """Note that a client's connection ended without an answer."""
+        if event.id in self.messages:
+            self.messages[event.id].was_unanswered = True
+
     def on_submit_timed_out(self, event: Event) -> None:
         """Note that a client has given up."""
         if event.id in self.messages:
@@ -268,6 +277,7 @@
 HANDLERS: dict[EventKind, Callable[[ObservedState, Event], None]] = {
     EventKind.SUBMITTED: ObservedState.on_submitted,
     EventKind.SUBMIT_ANSWERED: ObservedState.on_submit_answered,
+    EventKind.SUBMIT_UNANSWERED: ObservedState.on_submit_unanswered,
     EventKind.SUBMIT_TIMED_OUT: ObservedState.on_submit_timed_out,
     EventKind.CALL_RECEIVED: ObservedState.on_call_received,
     EventKind.CALL_STARTED: ObservedState.on_call_started,
--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from lab.event_log import Event, EventKind
@@ -18,6 +20,17 @@
 KILLED = [event(0.5, EventKind.PROCESS_KILLED), event(0.5, EventKind.PROCESS_ENDED, status=-9)]
 
 
+def unheard(at_s: float, message_id: str, **more: Any) -> list[Event]:
+    """A message whose forwarder is killed before its answer, and is ready again one second after it came."""
+    return [
+        *submitted(at_s, message_id, **more)[:1],
+        event(at_s + 0.05, EventKind.PROCESS_KILLED),
+        event(at_s + 0.05, EventKind.PROCESS_ENDED, status=-9),
+        event(at_s + 0.06, EventKind.SUBMIT_UNANSWERED, message_id),
+        event(at_s + 1.0, EventKind.FORWARDER_READY),
+    ]
+
+
 CLEAN: dict[str, list[Event]] = {
     "delivered": delivered(),
     "refused by the endpoint and sent again": [*submitted(0, "a"), *called(0.1, "a", 1, 503), *called(1, "a", 2)],
@@ -104,6 +117,14 @@
         *called(0.6, "a", 1, 503),
         *called(1.0, "b", 2),
     ],
+    "on record as its process was killed before the 202, and sent before what was handed in later": [
+        *unheard(0, "a", number=0),
+        *submitted(1.1, "b", number=0),
+        *submitted(1.2, "c", number=1),
+        *called(1.3, "a", 1),
+        *called(1.5, "b", 2),
+        *called(1.7, "c", 3),
+    ],
     "stopped, and as late as that": [
         *submitted(0, "a"),
         event(1, EventKind.PROCESS_PAUSED),
@@ -163,6 +184,10 @@
         "order",
         [*submitted(0, "a"), *submitted(0.1, "b", number=1), *called(0.2, "b", 1), *called(1, "a", 2)],
     ),
+    "on record as its process was killed before the 202, and sent past one handed in before it": (
+        "order",
+        [*submitted(0, "a"), *unheard(0.1, "b", number=1), *called(1.1, "b", 1), *called(2, "a", 2)],
+    ),
     "before the backoff of its key is over": (
         "order",
         [
--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -193,6 +193,33 @@
     assert played.testbed.forwarders["n0"].starts == played.testbed.forwarders["n5"].starts == 3
 
 
+def test_kills_between_a_record_and_its_202_break_no_rule(tmp_path: Path) -> None:
+    """Guards against `order` and `duplicate` found where a message was on record and its client heard nothing.
+
+    The 202 cannot be sent for some time, by force, and the kill comes within that.
+    """
+    nodes = tuple(f"n{n}" for n in range(6))
+    strikes_s = (2.0, 4.0, 6.0)
+    scenario = make_scenario(
+        Fault(at_s=1.0, kind="outage", share=0.8, for_s=5.0),
+        *(
+            Fault(at_s=at_s - 0.1, kind="errors", names=nodes, call="client-send", errno="ENOBUFS", for_s=0.7)
+            for at_s in strikes_s
+        ),
+        *(
+            Fault(at_s=at_s, kind="kill", names=(node,), back_s=0.2, on="handed", within_ms=60.0)
+            for at_s in strikes_s
+            for node in nodes
+        ),
+        load=Load(per_node_s=8.0, of_limits=1.2, keys=6, once_share=0.7),
+    )
+    result, played = play(scenario, tmp_path)
+    assert result.findings == []
+    unheard = {event.id for event in events_of(played, EventKind.SUBMIT_UNANSWERED)}
+    sent = {event.id for event in events_of(played, EventKind.CALL_RECEIVED)}
+    assert len(unheard & sent) > 5, "messages on record of which no client heard"
+
+
 def test_lost_and_damaged_folders_break_no_rule_but_that_on_duplicates(tmp_path: Path) -> None:
     scenario = make_scenario(
         *(
