Give arrival estimates and the last check of calls classes of their own

Change: ArrivalEstimate holds since when something may lie unread on a connection; CallChecks takes out of a call what may not be sent now.

--- a/forwarder/clients/arrival_time.py
+++ b/forwarder/clients/arrival_time.py
@@ -12,6 +12,7 @@
 import selectors
 import socket
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from forwarder.runtime.descriptor_watch import PatientEpoll
@@ -89,6 +90,46 @@
     return max(0, time.monotonic_ns() - selector.earliest_ns) // 1000
 
 
+class ArrivalEstimate:
+    """Since when what is read now from one connection may have been there.
+
+    Args:
+        unread_since_us: since when something may lie unread of which the event loop could not tell.
+    """
+
+    def __init__(self, unread_since_us: int) -> None:
+        self.unread_since_us: int | None = unread_since_us
+        """None while the event loop could tell of all that came."""
+
+    def take(self, now_us: int) -> int:
+        """Returns the earliest arrival of what is read now. What is read next has come after this."""
+        arrived_us = now_us - waited_us()
+        if self.unread_since_us is not None:
+            arrived_us = min(arrived_us, self.unread_since_us)
+            self.unread_since_us = None
+        return arrived_us
+
+    def reading_paused(self, now_us: int) -> None:
+        """The event loop does not watch the connection from now on."""
+        self.unread_since_us = now_us
+
+    def reading_begins(self, is_reading: Callable[[], bool]) -> None:
+        """The event loop watches the connection from its next poll on.
+
+        The next turn begins with that poll, and what it reports is read in that turn. What a later one reports has come
+        since.
+
+        Args:
+            is_reading: returns whether the connection is watched still.
+        """
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, self._polled, is_reading)
+
+    def _polled(self, is_reading: Callable[[], bool]) -> None:
+        if is_reading():
+            self.unread_since_us = None
+
+
 class PatientSocket(socket.socket):
     """A socket that tries again where memory or buffers were not to be had.
 
--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -9,7 +9,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from forwarder.clients.arrival_time import waited_us
+from forwarder.clients.arrival_time import ArrivalEstimate
 from forwarder.clients.listener import fileno
 from forwarder.clients.request_parser import RequestParser
 from forwarder.clients.submission import ClientRequest
@@ -75,9 +75,8 @@
         """Whether the client does not read its answers."""
         self._handed_over = handed_over
         self._peer_ended = False
-        self._unread_since_us: int | None = now_us - min(accept_delay_us, CLIENT_TIMEOUT_US)
-        """Since when something may lie unread of which the event loop could not tell; None while it could. No client
-        waits for longer than its time-out, so what is open now is no older than that."""
+        # No client waits for longer than its time-out, so what is open now is no older than that.
+        self._arrivals = ArrivalEstimate(now_us - min(accept_delay_us, CLIENT_TIMEOUT_US))
 
     # Called by the event loop
 
@@ -88,7 +87,7 @@
         self.server.connection_opened(self)
         if self._handed_over is not None:
             self._restore(self._handed_over)
-        self._expect_first_poll()
+        self._arrivals.reading_begins(self._is_reading)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Withdraws the current request; called by the event loop."""
@@ -120,7 +119,7 @@
     def data_received(self, data: bytes) -> None:
         """Reads requests, and begins to answer them."""
         self.last_used_us = self.server.clock()
-        arrived_us = self._earliest_arrival_us()
+        arrived_us = self._arrivals.take(self.last_used_us)
         if self.parser.is_broken:
             return
         requests = self.parser.feed(data, arrived_us)
@@ -255,31 +254,13 @@
             self.parser.partial.arrived_us = handed_over.request_began_us
         self.last_used_us = handed_over.last_used_us
         if handed_over.handed_over_at_us is not None:
-            self._unread_since_us = handed_over.handed_over_at_us
+            self._arrivals.reading_paused(handed_over.handed_over_at_us)
         self.server.connection_used(self)
 
     # Internal steps
 
-    def _earliest_arrival_us(self) -> int:
-        """Returns when what is read now may have arrived, at the earliest."""
-        arrived_us = self.last_used_us - waited_us()
-        if self._unread_since_us is not None:
-            arrived_us = min(arrived_us, self._unread_since_us)
-            self._unread_since_us = None
-        return arrived_us
-
-    def _expect_first_poll(self) -> None:
-        """Forgets since when something may lie unread, once a poll of the event loop has looked at the connection.
-
-        The next turn begins with the first such poll, and what it reports is read in that turn. What a later poll
-        reports has come since.
-        """
-        loop = asyncio.get_running_loop()
-        loop.call_soon(loop.call_soon, self._forget_unread)
-
-    def _forget_unread(self) -> None:
-        if self.transport is not None and not self.transport.is_closing() and self.transport.is_reading():
-            self._unread_since_us = None
+    def _is_reading(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing() and self.transport.is_reading()
 
     def _answer_next(self) -> None:
         while self.current_request is None and self.waiting and self.transport is not None and not self.writing_paused:
@@ -292,11 +273,11 @@
         """Reads no further while too many requests wait, or their answers are not read."""
         if self.writing_paused or len(self.waiting) >= MAX_PIPELINED_REQUESTS:
             if transport.is_reading():
-                self._unread_since_us = self.server.clock()
+                self._arrivals.reading_paused(self.server.clock())
             transport.pause_reading()
         elif not transport.is_reading():
             transport.resume_reading()
-            self._expect_first_poll()
+            self._arrivals.reading_begins(self._is_reading)
 
     def _continue(self) -> None:
         if self.transport is not None and self.current_request is None:
--- /dev/null
+++ b/forwarder/endpoints/call_checks.py
@@ -0,0 +1,47 @@
+"""The last check of a call, at the moment at which it would be written."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from forwarder.decisions.outcomes import Outcome
+from forwarder.endpoints.call import CallItem, CallResult, EndpointCall
+from forwarder.endpoints.in_flight_calls import InFlightCalls
+from forwarder.runtime.invariants import AttemptFacts, Denial, Invariants, RouteFacts, route_denial
+
+
+class CallChecks:
+    """Takes those messages out of a call that may not be sent now.
+
+    Args:
+        clock: the forwarder's clock, in microseconds.
+        in_flight: the calls that have not ended.
+        invariants: says whether a message may be sent; without it only the route is checked.
+    """
+
+    def __init__(self, clock: Callable[[], int], in_flight: InFlightCalls, invariants: Invariants | None) -> None:
+        self.clock = clock
+        self.in_flight = in_flight
+        self.invariants = invariants
+
+    def end_denied(self, call: EndpointCall, is_listed: bool) -> None:
+        """Ends the attempts of those messages of a call that may not be sent now.
+
+        Args:
+            call: the call.
+            is_listed: whether its endpoint may be called, at the address that it goes to.
+        """
+        now_us = self.clock()
+        route = RouteFacts(is_listed, self.in_flight.retry_after.until_us(call.limit_scope))
+        others = {key.message_id for key, other in self.in_flight.by_attempt.items() if other is not call}
+        for item in list(call.open_items.values()):
+            if self._denial(item, route, now_us, others) is not None:
+                self.in_flight.end_item(call, item, CallResult(Outcome.NOT_SENT))
+        if not call.open_items:
+            call.cancel_timers()
+
+    def _denial(self, item: CallItem, route: RouteFacts, now_us: int, others: set[str]) -> Denial | None:
+        attempt = AttemptFacts(item.id, item.attempt, item.send_before_us, item.due_us)
+        if self.invariants is None:
+            return route_denial(attempt, route, now_us)
+        return self.invariants.may_send(attempt, route, now_us, others)
--- a/forwarder/endpoints/pool.py
+++ b/forwarder/endpoints/pool.py
@@ -9,7 +9,8 @@
 
 from forwarder.config.config import Address
 from forwarder.decisions.outcomes import Outcome
-from forwarder.endpoints.call import CallItem, CallResult, EndpointCall
+from forwarder.endpoints.call import CallResult, EndpointCall
+from forwarder.endpoints.call_checks import CallChecks
 from forwarder.endpoints.connection import EndpointConnection, SendResult
 from forwarder.endpoints.idle_connections import IdleConnections
 from forwarder.endpoints.in_flight_calls import AttemptSink, InFlightCalls
@@ -23,7 +24,7 @@
     IdleConnectionRecord,
     PoolRecord,
 )
-from forwarder.runtime.invariants import AttemptFacts, Denial, Invariants, RouteFacts, route_denial
+from forwarder.runtime.invariants import Invariants
 from forwarder.runtime.reason_counts import ReasonCounts, Subject
 from forwarder.runtime.supervisor import Supervisor
 from forwarder.units import SECOND_US
@@ -64,10 +65,10 @@
         self.clock = clock
         self.max_connections = max_connections
         self.reasons = reasons or ReasonCounts()
-        self.invariants = invariants
         self.supervisor = supervisor or Supervisor()
         self.retry_after = RetryAfterTable(clock)
         self.in_flight = InFlightCalls(clock, sink, self.retry_after)
+        self.checks = CallChecks(clock, self.in_flight, invariants)
         self.addresses: dict[int, Address] = {}
         """The endpoints that may be called, by number."""
         self.connections: set[EndpointConnection] = set()
@@ -77,7 +78,7 @@
 
     @property
     def calls_in_flight(self) -> int:
-        """The number of calls that have not ended."""
+        """How many calls have not ended."""
         return self.in_flight.count
 
     @property
@@ -192,22 +193,8 @@
         return Outcome.LOCAL_FAILURE
 
     def _end_denied(self, call: EndpointCall, address: Address) -> None:
-        """Ends the attempts of those messages of a call that may not be sent now."""
-        now_us = self.clock()
-        is_listed = self.addresses.get(call.endpoint) == address
-        route = RouteFacts(is_listed, self.retry_after.until_us(call.limit_scope))
-        others = {key.message_id for key, other in self.in_flight.by_attempt.items() if other is not call}
-        for item in list(call.open_items.values()):
-            if self._denial(item, route, now_us, others) is not None:
-                self.in_flight.end_item(call, item, CallResult(Outcome.NOT_SENT))
-        if not call.open_items:
-            call.cancel_timers()
-
-    def _denial(self, item: CallItem, route: RouteFacts, now_us: int, others: set[str]) -> Denial | None:
-        attempt = AttemptFacts(item.id, item.attempt, item.send_before_us, item.due_us)
-        if self.invariants is None:
-            return route_denial(attempt, route, now_us)
-        return self.invariants.may_send(attempt, route, now_us, others)
+        """Ends the attempts of those messages of a call to this address that may not be sent now."""
+        self.checks.end_denied(call, is_listed=self.addresses.get(call.endpoint) == address)
 
     def _render(self, call: EndpointCall) -> bytes:
         call.batched = len(call.open_items) > 1
@@ -255,12 +242,12 @@
         """
         connections: list[EndpointConnection] = []
         calls = [_describe_call(call, connections) for call in self.in_flight.calls()]
-        idle: list[IdleConnectionRecord] = []
-        for endpoint, held in self.idle.by_endpoint.items():
-            for connection in held:
-                if not connection.is_closing():
-                    idle.append(IdleConnectionRecord(len(connections), endpoint, connection.idle_since_us))
-                    connections.append(connection)
+        idle = [
+            _describe_idle(connection, endpoint, connections)
+            for endpoint, held in self.idle.by_endpoint.items()
+            for connection in held
+            if not connection.is_closing()
+        ]
         return PoolRecord(tuple(calls), tuple(idle), self.retry_after.entries()), connections
 
     async def adopt(self, call: EndpointCall, sock: socket.socket | None, received: bytes) -> None:
@@ -316,3 +303,11 @@
         attempts=tuple(AttemptRecord(item.id, item.attempt, item.timeout_at_us) for item in call.open_items.values()),
         received=bytes(call.connection.received) if call.connection else b"",
     )
+
+
+def _describe_idle(
+    connection: EndpointConnection, endpoint: int, connections: list[EndpointConnection]
+) -> IdleConnectionRecord:
+    """Returns what another process needs to keep a connection, which is added to `connections`."""
+    connections.append(connection)
+    return IdleConnectionRecord(len(connections) - 1, endpoint, connection.idle_since_us)
--- /dev/null
+++ b/tests/clients/test_arrival_estimate.py
@@ -0,0 +1,43 @@
+"""What one connection's arrival estimate says before, in and after the first poll that watches it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from forwarder.clients.arrival_time import ArrivalEstimate
+
+QUEUED_SINCE_US = 100
+NOW_US = 500
+
+
+def test_what_the_first_poll_reports_may_have_come_while_the_connection_was_queued() -> None:
+    async def scene() -> None:
+        estimate = ArrivalEstimate(QUEUED_SINCE_US)
+        estimate.reading_begins(lambda: True)
+        await asyncio.sleep(0)
+        assert estimate.take(NOW_US) == QUEUED_SINCE_US
+        assert estimate.take(NOW_US) == NOW_US
+
+    asyncio.run(scene())
+
+
+def test_what_a_later_poll_reports_has_come_since() -> None:
+    async def scene() -> None:
+        estimate = ArrivalEstimate(QUEUED_SINCE_US)
+        estimate.reading_begins(lambda: True)
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert estimate.take(NOW_US) == NOW_US
+
+    asyncio.run(scene())
+
+
+def test_a_poll_tells_nothing_of_a_connection_that_is_not_read() -> None:
+    async def scene() -> None:
+        estimate = ArrivalEstimate(QUEUED_SINCE_US)
+        estimate.reading_begins(lambda: False)
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert estimate.take(NOW_US) == QUEUED_SINCE_US
+
+    asyncio.run(scene())
