Count a request's time from before a hand-over for connections not served yet

A request whose connection lay in the accept queue, or was accepted and not served, as another process took over was taken for just come: it was given the time of the hand-over too much, up to 0.4 s.

The new process's Listener took the queue for empty as it began, and adopt() gave a connection without a record no delay. Change: a listening socket that was handed over has held connections since an unknown time; so has a connection that was only accepted. Both count as long as a client waits (0.4 s).

Evidence: test_the_time_of_a_request_goes_on_while_its_connection_is_handed_over, on real sockets: both cases fail without the change (201 ms too much in each), and pass with it.

--- a/forwarder/clients/listener.py
+++ b/forwarder/clients/listener.py
@@ -40,6 +40,8 @@
     }
 )
 """Errors of accept(2) that are about the connection that was waiting, and not about this process."""
+UNKNOWN_TIME_S = 0.0
+"""By the loop's clock, before anything that counts."""
 LINGER_RESET = struct.pack("ii", 1, 0)
 LINGER_DEFAULT = struct.pack("ii", 0, 0)
 log = logging.getLogger("forwarder.listen")
@@ -124,6 +126,7 @@
         make_protocol: makes what serves a connection, from how long it may have waited to be accepted, in microseconds.
         free_slots: returns how many more connections there may be now.
         on_shortage: is called where no descriptor or memory for a connection is to be had, so that some can be freed.
+        handed_over: whether the socket has listened in another process, so that connections may have waited for long.
 
     Attributes:
         attaching: the connections that are accepted and have no protocol yet.
@@ -136,13 +139,14 @@
         make_protocol: Callable[[int], asyncio.BaseProtocol],
         free_slots: Callable[[], int] = unlimited_slots,
         on_shortage: Callable[[OSError], None] | None = None,
+        handed_over: bool = False,
     ) -> None:
         self.sock = sock
         self.make_protocol = make_protocol
         self.free_slots = free_slots
         self.on_shortage = on_shortage
         self.attaching: dict[PatientSocket, asyncio.Task[None]] = {}
-        self._queued_since_s: float | None = None
+        self._queued_since_s: float | None = UNKNOWN_TIME_S if handed_over else None
         """Since when connections may lie in the kernel's queue; None once it was found empty."""
         self._queue_poll = select.poll()
         self._queue_poll.register(self.sock, select.POLLIN)
--- a/forwarder/clients/server.py
+++ b/forwarder/clients/server.py
@@ -5,10 +5,11 @@
 import asyncio
 import socket
 from collections.abc import Callable, Iterable
+from functools import partial
 from http import HTTPStatus
 
 from forwarder.clients.arrival_time import PatientSocket
-from forwarder.clients.client_connection import ClientConnection
+from forwarder.clients.client_connection import CLIENT_TIMEOUT_US, ClientConnection
 from forwarder.clients.eviction_order import EvictionOrder
 from forwarder.clients.listener import Listener, descriptor, unread
 from forwarder.clients.submission import BadRequestError, ClientRequest, Submission, parse_submission
@@ -74,26 +75,33 @@
         self.closed = False
         self.listener: Listener | None = None
 
-    def listen(self, sock: socket.socket) -> None:
-        """Begins to accept connections on a bound socket."""
+    def listen(self, sock: socket.socket, handed_over: bool = False) -> None:
+        """Begins to accept connections on a bound socket, which may have listened in another process."""
         self.listener = Listener(
             sock,
             BACKLOG,
             lambda accept_delay_us: ClientConnection(self, accept_delay_us=accept_delay_us),
             self.free_slots,
             self.evict_for_descriptors,
+            handed_over,
         )
         self.supervisor.repeat("sweep of clients", SWEEP_INTERVAL_S, self.sweep)
 
     async def adopt(self, sock: socket.socket, handed_over: ClientRecord | None) -> None:
         """Goes on with a client's connection of the process before.
 
+        Args:
+            sock: the connection.
+            handed_over: what that process knew of it; None where it had only accepted it, some time ago.
+
         Raises:
             OSError: the connection cannot be used.
         """
         patient = PatientSocket.of(sock)
         patient.setblocking(False)
-        await asyncio.get_running_loop().connect_accepted_socket(lambda: ClientConnection(self, handed_over), patient)
+        delay_us = CLIENT_TIMEOUT_US if handed_over is None else 0
+        make = partial(ClientConnection, self, handed_over, delay_us)
+        await asyncio.get_running_loop().connect_accepted_socket(make, patient)
 
     # Requests
 
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -244,7 +244,7 @@
         self.admin.commands = self.commands.table()  # operators who are handed over have called one that serves
         if self.handover is not None:
             await adopt_clients(self, self.handover)
-        self.server.listen(self.client_socket)
+        self.server.listen(self.client_socket, handed_over=self.handover is not None)
         for extension in self.extensions:
             await extension.open()
         admin_listening = self.supervisor.keep("control", self._listen_for_operators)
--- a/tests/clients/test_arrival_time.py
+++ b/tests/clients/test_arrival_time.py
@@ -7,6 +7,8 @@
 import time
 from http import HTTPStatus
 
+import pytest
+
 from forwarder.clients.arrival_time import event_loop
 from forwarder.clients.client_connection import CLIENT_TIMEOUT_US, MAX_PIPELINED_REQUESTS, ClientConnection
 from forwarder.clients.listener import bind
@@ -86,6 +88,38 @@
         runner.run(scene())
 
 
+@pytest.mark.parametrize("was_accepted", [False, True], ids=["queued", "accepted"])
+def test_the_time_of_a_request_goes_on_while_its_connection_is_handed_over(was_accepted: bool) -> None:
+    """Guards against `lost`: what another process had not served yet was taken for just come."""
+
+    async def scene() -> None:
+        clock = Clock()
+        submitted: list[Submission] = []
+        server = ClientServer(
+            parse_settings(SETTINGS), clock, MAX_CONNECTIONS, lambda submission, _: submitted.append(submission)
+        )
+        sock = await bind(Address("127.0.0.1", 0))
+        sock.listen()
+        client = connect(sock.getsockname())
+        client.send(message("m", left=str(TIME_LEFT_S)))
+        sent_us = clock()
+        await asyncio.sleep(0.2)
+        if was_accepted:
+            await server.adopt(sock.accept()[0], None)
+        else:
+            server.listen(sock, handed_over=True)
+        async with asyncio.timeout(PATIENCE):
+            while not submitted:
+                await asyncio.sleep(0)
+        assert submitted[0].due_us <= sent_us + TIME_LEFT_S * SECOND_US + TOLERANCE_US
+        client.close()
+        sock.close()
+        server.close()
+
+    with asyncio.Runner(loop_factory=event_loop) as runner:
+        runner.run(scene())
+
+
 def test_a_request_long_after_a_pause_is_not_taken_for_one_of_the_pause() -> None:
     """Guards against a request refused as late that came long after its connection was read again."""
 
