Read the lateness of a check after listing what is overdue, not as the check begins

Cause: a check that began in time was stopped in its middle (in the retry of a failed write, 1.6 s). It went by the lateness measured at its beginning, and ended what had become overdue meanwhile before the decisions' timers had their turn. Trace: one check logs "can be written again" and the watchdog's line, the next one "the loop stood still for 1600 ms".

Change: the overdue messages are listed first, and the lateness is read after that.

Evidence: test_a_check_that_is_held_up_in_its_middle_leaves_messages_to_the_decisions failed before and passes; one that is left without an end is still ended.

--- a/forwarder/runtime/periodic_checks.py
+++ b/forwarder/runtime/periodic_checks.py
@@ -4,12 +4,14 @@
 
 import logging
 import time
+from collections.abc import Iterable
 
 from forwarder.decisions.events import MessageWithdrawn, PendingNoticeRecovered
 from forwarder.runtime.context import Runtime
 from forwarder.runtime.startup_phase import StartupPhase
 from forwarder.runtime.state_log import log_state
 from forwarder.runtime.supervisor import Repeating
+from forwarder.storage.messages import AcceptedMessage
 
 INTERVAL_S = 0.1
 LAG_S = 0.1
@@ -39,8 +41,9 @@
 
     def _check(self) -> None:
         runtime = self.runtime
+        due_s = self._next_check_s
         now_s = time.monotonic()
-        lag_s = now_s - self._next_check_s
+        lag_s = now_s - due_s
         self._next_check_s = now_s + INTERVAL_S
         if lag_s > LAG_S and now_s - self._lag_logged_s > LAG_LOG_INTERVAL_S:
             self._lag_logged_s = now_s
@@ -57,8 +60,11 @@
             self._reasons_logged_s = now_s
             runtime.reasons.report()
         self._follow_startup()
-        if lag_s <= LAG_S:  # after a standstill the decisions come first: their timers are due as well
-            self.end_overdue_messages()
+        overdue = self._overdue_messages()
+        # After a standstill the decisions come first: their timers are due as well. The clock is read after what it is
+        # to vouch for, so that a standstill within this check counts too.
+        if time.monotonic() - due_s <= LAG_S:
+            self._end(overdue)
 
     def _follow_startup(self) -> None:
         progress = self.runtime.startup_progress
@@ -69,11 +75,17 @@
 
     def end_overdue_messages(self) -> None:
         """Ends what the decisions have left without an end past its time: that would break a promise."""
+        self._end(self._overdue_messages())
+
+    def _overdue_messages(self) -> list[AcceptedMessage]:
         runtime = self.runtime
         if runtime.run_state.is_frozen:
-            return
+            return []
         limit_us = runtime.clock() - OVERDUE_US
-        overdue = [message for message in runtime.store.messages.values() if message.due_us < limit_us]
+        return [message for message in runtime.store.messages.values() if message.due_us < limit_us]
+
+    def _end(self, overdue: Iterable[AcceptedMessage]) -> None:
+        runtime = self.runtime
         for message in overdue:
             log.error("a message was left without an end: id=%s", message.id)
             runtime.store.add_pending_notice(message.id, "failed", 0)
