--- a/tests/clients/test_arrival_time.py
+++ b/tests/clients/test_arrival_time.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import selectors
 import socket
 import time
 from http import HTTPStatus
 
 import pytest
 
-from forwarder.clients.arrival_time import event_loop
+from forwarder.clients.arrival_time import TimedSelector, event_loop
 from forwarder.clients.client_connection import CLIENT_TIMEOUT_US, MAX_PIPELINED_REQUESTS, ClientConnection
 from forwarder.clients.listener import bind
 from forwarder.clients.server import ClientServer
@@ -150,3 +151,28 @@
 
     with asyncio.Runner(loop_factory=event_loop) as runner:
         runner.run(scene())
+
+
+@pytest.mark.parametrize("timeout_s", [0.0, 1.0, None])
+def test_what_lay_there_as_a_poll_began_is_no_younger_though_the_poll_was_held_up(timeout_s: float | None) -> None:
+    """Guards against a request given too much time: a poll that lost the processor was taken for one that waited."""
+    selector = TimedSelector()
+    ours, other = socket.socketpair()
+    selector.register(ours, selectors.EVENT_READ)
+    poll = selector._selector.poll
+
+    def held_up(*arguments: float) -> list[tuple[int, int]]:
+        ready = poll(*arguments)
+        time.sleep(0.005)
+        return ready
+
+    selector.select(0.0)
+    selector._selector.poll = held_up  # type: ignore[method-assign]
+    other.send(b"x")
+    sent_ns = time.monotonic_ns()
+    time.sleep(TURN_S)
+    assert selector.select(timeout_s)
+    assert selector.earliest_ns <= sent_ns
+    selector.close()
+    ours.close()
+    other.close()
--- /dev/null
+++ b/tests/runtime/test_failing_send.py
@@ -0,0 +1,77 @@
+"""Sends and reads to endpoints fail for want of buffers, played on the real program: what was accepted arrives once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from lab.shim import Failure
+from tests.load import SteadyLoad
+from tests.nodes import Node
+from tests.platforms import Platform
+from tests.scenes import end_with_scene, play, received_ids, start_endpoint
+from tests.sockets import OK, Answer, Request, always
+
+BEFORE_S = 0.5
+FAILING_S = 2.5
+BACK_S = 1.0
+"""Service is back so soon after the end of a failure."""
+MAX_OPEN_MESSAGES = 1000
+PIECES = 6
+PIECE_INTERVAL_S = 0.1
+
+
+async def answer_in_pieces(request: Request) -> bytes:
+    """Answers so slowly that the answer is half read for most of the time."""
+    body = b"x" * 600
+    request.writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body))
+    for first in range(0, len(body), len(body) // PIECES):
+        await asyncio.sleep(PIECE_INTERVAL_S)
+        request.writer.write(body[first : first + len(body) // PIECES])
+    return b""
+
+
+HANDLERS: dict[str, Callable[[Request], Awaitable[Answer | bytes | None]]] = {
+    "whole answers": always(OK),
+    "answers in pieces": answer_in_pieces,
+}
+
+
+@pytest.mark.parametrize("handler", HANDLERS)
+@pytest.mark.parametrize("share", [1.0, 0.3])
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [("send", "ENOBUFS"), ("send", "ENOMEM"), ("send", "EINTR"), ("recv", "ENOBUFS"), ("recv", "ENOMEM")],
+)
+def test_messages_arrive_once_though_calls_on_endpoint_connections_fail(
+    tmp_path: Path, call: str, error: str, share: float, handler: str
+) -> None:
+    """Guards against messages that were returned unsent, or taken for run, where this machine had no buffers."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await start_endpoint(platform, HANDLERS[handler])
+        node = Node(folder, platform, max_open=MAX_OPEN_MESSAGES)
+        end_with_scene(node)
+        await node.fail()
+        await node.start()
+        load = SteadyLoad(node)
+        await load.start()
+        await asyncio.sleep(BEFORE_S)
+        await node.fail(Failure(call, error, share))
+        await asyncio.sleep(FAILING_S)
+        await node.fail()
+        came = len(peer.requests)
+        await asyncio.sleep(BACK_S)
+        assert len(peer.requests) > came, "endpoints are called again"
+        await load.finish()
+        accepted = load.accepted()
+        assert len(accepted) == len(load.submitted)
+        await peer.wait_until(lambda: set(received_ids(peer)) >= set(accepted))
+        await asyncio.sleep(BACK_S)
+        assert sorted(received_ids(peer)) == sorted(accepted)
+        assert not platform.notices
+
+    play(scene, tmp_path)
--- /dev/null
+++ b/tests/runtime/test_notices_in_time.py
@@ -0,0 +1,115 @@
+"""Notices that are due while this machine or the platform is in trouble, played on the real program."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from lab.shim import Failure
+from tests.nodes import Node
+from tests.platforms import Platform
+from tests.scenes import end_with_scene, play, received_ids, start_endpoint, start_node
+from tests.sockets import Answer, Request, hang, once
+
+LOST_AFTER_S = 0.35
+"""A message without an end is lost so long after its time (PROTOCOL: 300 ms, and 50 ms on sockets)."""
+RESTART_GRACE_S = 1.5
+"""No notice is overdue until so long after a restarted forwarder is ready (PROTOCOL)."""
+BACK_S = 1.0
+"""Service is back so soon after the end of a failure."""
+CLASSES = ("order", "status", "turn", "pay")
+LEFT_S = (1.0, 1.4, 1.8, 2.2, 2.6)
+FAILING_S = 3.0
+
+
+class NoticeTimes:
+    """Notes when each message's notice came first."""
+
+    def __init__(self, platform: Platform) -> None:
+        self.came_s: dict[str, float] = {}
+        self._platform = platform
+        platform.handler = self._note(platform.handler)
+
+    def _note(
+        self, handler: Callable[[Request], Awaitable[Answer | bytes | None]]
+    ) -> Callable[[Request], Awaitable[Answer | bytes | None]]:
+        async def noted(request: Request) -> Answer | bytes | None:
+            answer = await handler(request)
+            for notice in self._platform.notices:
+                self.came_s.setdefault(notice["id"], time.monotonic())
+            return answer
+
+        return noted
+
+
+async def submit_all(node: Node) -> dict[str, float]:
+    """Submits messages that nobody delivers. Returns when each of those that are accepted is due."""
+    due_s = {}
+    for left_s in LEFT_S:
+        for message_class in CLASSES:
+            name = f"{message_class}-{left_s}"
+            sent_s = time.monotonic()
+            if (await node.submit(name, message_class, left=str(left_s)))[0] == 202:
+                due_s[name] = sent_s + left_s
+    assert len(due_s) > len(LEFT_S)
+    return due_s
+
+
+@pytest.mark.parametrize("restarts", [False, True], ids=["in service", "over a restart"])
+@pytest.mark.parametrize("share", [1.0, 0.7])
+def test_ends_are_told_in_time_though_no_socket_is_to_be_had(tmp_path: Path, share: float, restarts: bool) -> None:
+    """Guards against ends that came seconds late, since what tells them had to be opened first."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        await start_endpoint(platform, hang)
+        times = NoticeTimes(platform)
+        node = Node(folder, platform)
+        end_with_scene(node)
+        await node.fail()
+        await node.start()
+        due_s = await submit_all(node)
+        ready_s = 0.0
+        if restarts:
+            await node.end()
+            await node.start()
+            ready_s = time.monotonic()
+        await asyncio.sleep(0.3)
+        await node.fail(Failure("socket", "ENFILE", share))
+        await asyncio.sleep(FAILING_S)
+        await node.fail()
+        await platform.wait_until(lambda: len(platform.notices) >= len(due_s))
+        bound_s = {name: max(due + LOST_AFTER_S, ready_s + RESTART_GRACE_S) for name, due in due_s.items()}
+        late = {name: times.came_s[name] - due_s[name] for name in due_s if times.came_s[name] > bound_s[name]}
+        assert not late
+
+    play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("answers_after_s", [0.25, 0.6])
+def test_a_platform_that_answers_posts_slowly_is_heard(tmp_path: Path, answers_after_s: float) -> None:
+    """Guards against posts that are given up before their answer, all of them, for as long as the platform is slow."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        answered = platform.handler
+
+        async def slow(request: Request) -> Answer | bytes | None:
+            if request.path == "/v1/notices":
+                await asyncio.sleep(answers_after_s)
+            return await answered(request)
+
+        platform.handler = slow
+        free = asyncio.Event()
+        peer = await start_endpoint(platform, once(free))
+        node = await start_node(folder, platform)
+        assert (await node.submit("first", "turn", left="1.0", X_Session_Key="k"))[0] == 202
+        assert (await node.submit("second", "turn", left="9.0", X_Session_Key="k"))[0] == 202
+        await platform.wait_for_notice("first")
+        free.set()
+        async with asyncio.timeout(answers_after_s + BACK_S):
+            await peer.wait_until(lambda: "second" in received_ids(peer))
+
+    play(scene, tmp_path)
