Log since when accepting and posting notices fail, and which request a close was behind

FailureSpan logs both ends of a failure with count and time, and one line a second between; the state line tells whether accepting and notices work, and why requests were refused, held back, retried or read late (over 0.1 s in the kernel, by id). No behaviour changes.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -19,6 +19,7 @@
 
 MAX_PIPELINED_REQUESTS = 8  # requests that wait on one connection before no more is read from it
 CLIENT_TIMEOUT_US = 400_000  # a client that has no answer by then closes its connection (PROTOCOL)
+READ_LATE_US = 100_000  # a request that may have lain in the kernel for so long is counted as read late
 LINGER_S = 1.0  # a connection that sent what cannot be read is closed so long after its answer
 
 
@@ -71,6 +72,8 @@
         self.opened_us = now_us
         self.last_used_us = now_us
         self.has_sent_request = False
+        self._last_id = ""
+        """Of the message that was submitted on it last."""
         self.writing_paused = False
         """Whether the client does not read its answers."""
         self._handed_over = handed_over
@@ -126,6 +129,8 @@
         self.waiting.extend(requests)
         if any(request.method for request in requests):  # one that cannot be read has none
             self.has_sent_request = True
+        if requests and self.last_used_us - arrived_us > READ_LATE_US:
+            self.server.reasons.note(Subject.READ_LATE, "it lay in the kernel", requests[-1].message_id)
         self.server.connection_used(self)
         self._answer_next()
 
@@ -202,8 +207,9 @@
         if self.is_closed():
             return
         if self.current_request is not None and not self.server.closed:
-            message_id = self.current_request.headers.get("x-correlation-id", "")
-            self.server.reasons.note(Subject.VIOLATION, f"closed with a request unanswered: {reason}", message_id)
+            self.server.reasons.note(
+                Subject.VIOLATION, f"closed with a request unanswered: {reason}", self.current_request.message_id
+            )
         self._note_closing(reason)
         assert self.transport is not None
         self.transport.close()
@@ -265,6 +271,7 @@
     def _answer_next(self) -> None:
         while self.current_request is None and self.waiting and self.transport is not None and not self.writing_paused:
             self.current_request = self.waiting.popleft()
+            self._last_id = self.current_request.message_id
             self.server.handle(self, self.current_request)
         if self.transport is not None and not self.transport.is_closing():
             self._limit_reading(self.transport)
@@ -292,7 +299,8 @@
     def _note_closing(self, reason: str) -> None:
         assert self.transport is not None
         self.server.connection_closing(self)
-        self.server.reasons.note(Subject.CLIENT_CLOSED, reason, str(self.transport.get_extra_info("peername")))
+        peer = self.transport.get_extra_info("peername")
+        self.server.reasons.note(Subject.CLIENT_CLOSED, reason, f"{peer} after id={self._last_id or '-'}")
 
 
 def _render_answer(
--- a/forwarder/clients/listener.py
+++ b/forwarder/clients/listener.py
@@ -15,6 +15,7 @@
 from forwarder.clients.arrival_time import PatientSocket, waited_us
 from forwarder.config.config import Address
 from forwarder.runtime.descriptor_watch import ready_now
+from forwarder.runtime.failure_span import FailureSpan
 from forwarder.units import SECOND_US
 
 BIND_TIMEOUT_S = 5.0
@@ -146,6 +147,7 @@
         self.free_slots = free_slots
         self.on_shortage = on_shortage
         self.attaching: dict[PatientSocket, asyncio.Task[None]] = {}
+        self.accepting = FailureSpan(log, "accept")
         self._queued_since_s: float | None = UNKNOWN_TIME_S if handed_over else None
         """Since when connections may lie in the kernel's queue; None once it was found empty."""
         self._queue_poll = select.poll()
@@ -203,6 +205,7 @@
                     continue
                 self._accept_failed(error)
                 return
+            self.accepting.worked()
             sock = PatientSocket.of(accepted)
             sock.setblocking(False)
             attaching = self.attach(sock, self._accept_delay_us())
@@ -212,10 +215,9 @@
 
     def _accept_failed(self, error: OSError) -> None:
         """No connection can be accepted, most likely for want of descriptors."""
+        self.accepting.failed(error)
         if self.on_shortage is not None:
             self.on_shortage(error)
-        else:
-            log.error("cannot accept: reason=%s", error)
         self._pause(FAILURE_PAUSE_S)
 
     def _accept_delay_us(self) -> int:
--- a/forwarder/clients/submission.py
+++ b/forwarder/clients/submission.py
@@ -50,6 +50,11 @@
         """Its path without the query."""
         return self.path.partition("?")[0]
 
+    @property
+    def message_id(self) -> str:
+        """The id of the message that it submits, as its client states it; empty if it states none."""
+        return self.headers.get("x-correlation-id", "")
+
 
 @dataclass(slots=True)
 class Submission:
--- a/forwarder/discovery/notifier.py
+++ b/forwarder/discovery/notifier.py
@@ -11,6 +11,7 @@
 from forwarder.config.config import Address
 from forwarder.discovery.client import DiscoveryClient
 from forwarder.protocol.http1 import MAX_BODY_BYTES, BadResponseError
+from forwarder.runtime.failure_span import FailureSpan
 from forwarder.runtime.supervisor import Supervisor
 from forwarder.storage.messages import PendingNotice
 
@@ -19,7 +20,6 @@
 RETRY_PAUSES_S = (0.05, 0.1)  # after failed posts, the last for all further ones
 MAX_NOTICES_PER_POST = 500
 MAX_POST_BYTES = MAX_BODY_BYTES
-FAILURES_PER_WARNING = 20
 log = logging.getLogger("forwarder.discovery")
 
 
@@ -46,6 +46,7 @@
         self.client = DiscoveryClient(address)
         self.source = source
         self.supervisor = supervisor or Supervisor()
+        self.posting = FailureSpan(log, "post notices")
         self._wanted = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -61,7 +62,6 @@
         self.client = DiscoveryClient(address)
 
     async def _run(self) -> None:
-        failures = 0
         self._wanted.set()  # an error may have ended the run before after it had cleared this
         while True:
             await self._wanted.wait()
@@ -71,12 +71,11 @@
                 try:
                     await self._post(body)
                 except (OSError, BadResponseError) as error:
-                    if failures % FAILURES_PER_WARNING == 0:
-                        log.warning("notices not accepted, retrying: reason=%s", error or type(error).__name__)
-                    await asyncio.sleep(RETRY_PAUSES_S[min(failures, len(RETRY_PAUSES_S) - 1)])
-                    failures += 1
+                    pause_s = RETRY_PAUSES_S[min(self.posting.failures, len(RETRY_PAUSES_S) - 1)]
+                    self.posting.failed(f"{error or type(error).__name__} pending={len(pending)} first={pending[0][0]}")
+                    await asyncio.sleep(pause_s)
                     continue
-                failures = 0
+                self.posting.worked()
                 self.source.acknowledge_notices(message_ids)
 
     async def _post(self, body: bytes) -> None:
--- a/forwarder/runtime/reason_counts.py
+++ b/forwarder/runtime/reason_counts.py
@@ -24,6 +24,7 @@
     RETRY = "retry"
     REFUSAL = "refusal"
     HELD_BACK = "held back"
+    READ_LATE = "read late"
     VIOLATION = "violation"
 
 
--- a/forwarder/runtime/state_log.py
+++ b/forwarder/runtime/state_log.py
@@ -33,6 +33,19 @@
         reasons.total(Subject.VIOLATION),
         reasons.summary(Subject.VIOLATION),
     )
+    log.info(
+        "state: read late: %s; refused: %s; held back: %s; retries: %s",
+        reasons.summary(Subject.READ_LATE),
+        reasons.summary(Subject.REFUSAL),
+        reasons.summary(Subject.HELD_BACK),
+        reasons.summary(Subject.RETRY),
+    )
+    listener = runtime.server.listener
+    log.info(
+        "state: accept %s; notices: %s",
+        "not begun" if listener is None else listener.accepting.describe(),
+        runtime.notices.posting.describe(),
+    )
     largest = runtime.dispatcher.hold_times.totals()[:MOST_HOLD_REASONS]
     held_by = [f"{reason.value} {held_us / SECOND_US:.1f} s" for reason, held_us in largest]
     log.info("state: %s; held by: %s", runtime.startup_progress.phase.value, "; ".join(held_by) or "nothing")
