Count a request's time through the turns between its accept and its first read

What callers saw: a request behind a crowd was given up to a turn of the event loop too much time; its message may end after its time (lost).

Cause: how long a connection had waited was taken at its accept, and applied as its protocol was made, a turn or more later.

Change: the listener hands on since when, and the wait is reckoned as the protocol is made. Why it works: a time that is handed on does not age on the way, a duration does.

--- a/forwarder/clients/listener.py
+++ b/forwarder/clients/listener.py
@@ -124,7 +124,7 @@
     Args:
         sock: a bound socket.
         backlog: how many connections may wait to be accepted.
-        make_protocol: makes what serves a connection, from how long it may have waited to be accepted, in microseconds.
+        make_protocol: makes what serves a connection, from how long it may have waited until then, in microseconds.
         free_slots: returns how many more connections there may be now.
         on_shortage: is called where no descriptor or memory for a connection is to be had, so that some can be freed.
         handed_over: whether the socket has listened in another process, so that connections may have waited for long.
@@ -166,11 +166,16 @@
             asyncio.get_running_loop().remove_reader(self.sock)
             self.sock.close()
 
-    async def attach(self, sock: PatientSocket, accept_delay_us: int) -> None:
-        """Serves a connection that was accepted."""
+    async def attach(self, sock: PatientSocket, queued_since_s: float) -> None:
+        """Serves a connection that was accepted.
+
+        Args:
+            sock: the connection.
+            queued_since_s: since when, by the loop's clock, it may have waited.
+        """
         loop = asyncio.get_running_loop()
         try:
-            await loop.connect_accepted_socket(lambda: self.make_protocol(accept_delay_us), sock)
+            await loop.connect_accepted_socket(lambda: self.make_protocol(_passed_us(queued_since_s)), sock)
         except OSError as error:
             log.info("connection lost before it was served: reason=%s", error)
             sock.close()
@@ -208,7 +213,7 @@
             self.accepting.worked()
             sock = PatientSocket.of(accepted)
             sock.setblocking(False)
-            attaching = self.attach(sock, self._accept_delay_us())
+            attaching = self.attach(sock, self._queued_since_s)
             self.attaching[sock] = asyncio.get_running_loop().create_task(attaching)
         if ready_now(self._queue_poll) == []:
             self._queued_since_s = None
@@ -220,7 +225,7 @@
             self.on_shortage(error)
         self._pause(FAILURE_PAUSE_S)
 
-    def _accept_delay_us(self) -> int:
-        """Returns how long a connection that is accepted now may have waited: at most since the queue was empty."""
-        assert self._queued_since_s is not None
-        return int((asyncio.get_running_loop().time() - self._queued_since_s) * SECOND_US)
+
+def _passed_us(since_s: float) -> int:
+    """Returns the microseconds that have passed since a time of the loop's clock."""
+    return int((asyncio.get_running_loop().time() - since_s) * SECOND_US)
--- a/forwarder/streaming/extension.py
+++ b/forwarder/streaming/extension.py
@@ -52,7 +52,7 @@
         self._extension = extension
         super().__init__(sock, BACKLOG, lambda waited_us: asyncio.Protocol(), lambda: SPARE_SOCKETS // 2)
 
-    async def attach(self, conn: PatientSocket, waited_us: int) -> None:
+    async def attach(self, conn: PatientSocket, queued_since_s: float) -> None:
         """Serves a connection that was accepted, to its end."""
         try:
             await self._extension.serve_client(conn)
--- a/tests/clients/test_arrival_time.py
+++ b/tests/clients/test_arrival_time.py
@@ -121,6 +121,34 @@
         runner.run(scene())
 
 
+def test_the_time_of_a_request_goes_on_between_the_accept_of_its_connection_and_its_first_turn() -> None:
+    """Guards against `lost`: the turns of the event loop between accept and the first read were not counted."""
+
+    async def scene() -> None:
+        clock = Clock()
+        submitted: list[Submission] = []
+        server = ClientServer(
+            parse_settings(SETTINGS), clock, MAX_CONNECTIONS, lambda submission, _: submitted.append(submission)
+        )
+        sock = await bind(Address("127.0.0.1", 0))
+        server.listen(sock)
+        client = connect(sock.getsockname())
+        client.send(message("m", left=str(TIME_LEFT_S)))
+        sent_us = clock()
+        slow_loop = SlowLoop()
+        async with asyncio.timeout(PATIENCE):
+            while not submitted:
+                await asyncio.sleep(0)
+        slow_loop.is_slow = False
+        assert clock() - sent_us > 2 * TURN_S * SECOND_US
+        assert submitted[0].due_us <= sent_us + TIME_LEFT_S * SECOND_US + TOLERANCE_US
+        client.close()
+        server.close()
+
+    with asyncio.Runner(loop_factory=event_loop) as runner:
+        runner.run(scene())
+
+
 def test_a_request_long_after_a_pause_is_not_taken_for_one_of_the_pause() -> None:
     """Guards against a request refused as late that came long after its connection was read again."""
 
