Go on hearing a post of notices while the next is made: a slow platform is heard

What callers saw: while the platform answered posts later than 0.2 s, no notice was ever acknowledged: every message without a delivery stayed without its end (lost), the next of its key was never sent, for as long as that lasted.

Cause: Notifier gave each post up after 0.2 s, closed its connection and made the same again. Class: a failure that passes, answered by a step that lasts longer than the failure.

Change: a post is heard for 2 s; after 0.2 s (doubled to 0.5 s) the same is posted on another connection beside it, and what falls due meanwhile after 0.05 s. The connection that answers is kept; the others end. Why it works: patience with an answer and haste after silence no longer share one time-out.

--- a/forwarder/discovery/notifier.py
+++ b/forwarder/discovery/notifier.py
@@ -1,4 +1,8 @@
-"""Posts pending notices to the platform until it has acknowledged them."""
+"""Posts pending notices to the platform until it has acknowledged them.
+
+A post that has no answer yet is not given up when the next is made on another connection: a silent connection costs
+little time, and a platform that answers slowly is heard all the same.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +10,7 @@
 import json
 import logging
 from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from forwarder.config.config import Address
@@ -16,7 +21,12 @@
 from forwarder.storage.messages import PendingNotice
 
 NOTICES_PATH = "/v1/notices"
-POST_TIMEOUT_S = 0.2  # short: a message without its end 0.3 s after its deadline counts as lost (PROTOCOL)
+POST_TIMEOUT_S = 2.0
+FIRST_REPOST_S = 0.2  # short: a message without its end 0.3 s after its deadline counts as lost (PROTOCOL)
+MAX_REPOST_S = 0.5  # so that a platform which can be reached again is soon asked
+SLOW_POST_S = 0.05  # notices that came since a post was made do not wait for its answer for longer
+MIN_WAIT_S = 0.005
+MAX_POSTS = 6  # under way at once
 RETRY_PAUSES_S = (0.05, 0.1)  # after failed posts, the last for all further ones
 MAX_NOTICES_PER_POST = 500
 MAX_POST_BYTES = MAX_BODY_BYTES
@@ -33,6 +43,16 @@
         """The platform has acknowledged the notices of these messages."""
 
 
+@dataclass(slots=True, eq=False)
+class Post:
+    """A post that is under way."""
+
+    message_ids: frozenset[str]
+    client: DiscoveryClient
+    began_s: float
+    task: asyncio.Task[None]
+
+
 class Notifier:
     """Posts notices, again and again until the platform has answered 204.
 
@@ -40,13 +60,23 @@
         address: where the platform takes notices.
         source: the pending notices.
         supervisor: restarts the posting after an unexpected error.
+
+    Attributes:
+        client: the connection that is used first.
+        posting: since when posts fail.
     """
 
     def __init__(self, address: Address, source: PendingNoticeSource, supervisor: Supervisor | None = None) -> None:
+        self.address = address
         self.client = DiscoveryClient(address)
         self.source = source
         self.supervisor = supervisor or Supervisor()
         self.posting = FailureSpan(log, "post notices")
+        self._posts: list[Post] = []
+        """The oldest first."""
+        self._repost_s = FIRST_REPOST_S
+        """So long after the newest post, what it told is posted again."""
+        self._retry_at_s = 0.0
         self._wanted = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -57,31 +87,105 @@
             self._task = self.supervisor.keep("notices", self._run)
 
     def change_address(self, address: Address) -> None:
-        """Posts to a new address from now on; a post that is under way is cut off and made again."""
+        """Posts to a new address from now on; posts that are under way are cut off and made again."""
+        self._drop_posts()
         self.client.close()
+        self.address = address
         self.client = DiscoveryClient(address)
+        self._wanted.set()
 
     async def _run(self) -> None:
         self._wanted.set()  # an error may have ended the run before after it had cleared this
-        while True:
-            await self._wanted.wait()
-            self._wanted.clear()
-            while pending := list(self.source.pending_notices().items())[:MAX_NOTICES_PER_POST]:
-                body, message_ids = render_notices(pending)
-                try:
-                    await self._post(body)
-                except (OSError, BadResponseError) as error:
-                    pause_s = RETRY_PAUSES_S[min(self.posting.failures, len(RETRY_PAUSES_S) - 1)]
-                    self.posting.failed(f"{error or type(error).__name__} pending={len(pending)} first={pending[0][0]}")
-                    await asyncio.sleep(pause_s)
-                    continue
-                self.posting.worked()
-                self.source.acknowledge_notices(message_ids)
-
-    async def _post(self, body: bytes) -> None:
-        answer = await self.client.request("POST", NOTICES_PATH, POST_TIMEOUT_S, body)
+        try:
+            while True:
+                await self._wanted.wait()
+                self._wanted.clear()
+                while pending := self.source.pending_notices():
+                    self._start_post_if_due(pending)
+                    await self._wait_for_posts(pending)
+                    self._finish_posts()
+                self._drop_posts()
+        finally:
+            self._drop_posts()
+
+    def _next_post_s(self, pending: Mapping[str, PendingNotice]) -> float:
+        """Returns when the next post is due, by the loop's clock."""
+        if not self._posts:
+            return self._retry_at_s
+        interval_s = SLOW_POST_S if self._untold(pending) else self._repost_s
+        return max(self._retry_at_s, self._posts[-1].began_s + interval_s)
+
+    def _untold(self, pending: Mapping[str, PendingNotice]) -> list[tuple[str, PendingNotice]]:
+        """Returns the pending notices that no post under way tells."""
+        return [each for each in pending.items() if not any(each[0] in post.message_ids for post in self._posts)]
+
+    def _start_post_if_due(self, pending: Mapping[str, PendingNotice]) -> None:
+        loop = asyncio.get_running_loop()
+        if len(self._posts) >= MAX_POSTS or loop.time() < self._next_post_s(pending):
+            return
+        untold = self._untold(pending)
+        if self._posts and not untold:
+            self._repost_s = min(2 * self._repost_s, MAX_REPOST_S)
+        body, message_ids = render_notices((untold or list(pending.items()))[:MAX_NOTICES_PER_POST])
+        client = self._free_client()
+        task = loop.create_task(self._post(client, body, message_ids))
+        task.add_done_callback(_retrieve_error)
+        self._posts.append(Post(frozenset(message_ids), client, loop.time(), task))
+
+    def _free_client(self) -> DiscoveryClient:
+        """Returns a connection on which no post is under way."""
+        is_used = any(post.client is self.client for post in self._posts)
+        return DiscoveryClient(self.address) if is_used else self.client
+
+    async def _post(self, client: DiscoveryClient, body: bytes, message_ids: list[str]) -> None:
+        answer = await client.request("POST", NOTICES_PATH, POST_TIMEOUT_S, body)
         if answer.status != 204:
             raise BadResponseError(f"status {answer.status}")
+        self.source.acknowledge_notices(message_ids)
+
+    async def _wait_for_posts(self, pending: Mapping[str, PendingNotice]) -> None:
+        """Waits until a post has ended, or until it is time to look whether another is due."""
+        wait_s = self._next_post_s(pending) - asyncio.get_running_loop().time()
+        if self._posts:
+            tasks = [post.task for post in self._posts]
+            timeout_s = min(max(wait_s, MIN_WAIT_S), SLOW_POST_S)
+            await asyncio.wait(tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+        else:
+            await asyncio.sleep(max(0.0, wait_s))
+
+    def _finish_posts(self) -> None:
+        """Goes on after the posts that have ended. An error that was not foreseen goes on to the caller."""
+        now_s = asyncio.get_running_loop().time()
+        for post in [each for each in self._posts if each.task.done()]:
+            self._posts.remove(post)
+            try:
+                post.task.result()
+            except (OSError, BadResponseError) as error:
+                self._retry_at_s = now_s + RETRY_PAUSES_S[min(self.posting.failures, len(RETRY_PAUSES_S) - 1)]
+                self.posting.failed(f"{error or type(error).__name__} notices={len(post.message_ids)}")
+            else:
+                self._post_succeeded(post, now_s - post.began_s)
+
+    def _post_succeeded(self, post: Post, took_s: float) -> None:
+        """Keeps the connection that works, and repeats later posts only once they take longer than this one has."""
+        self.posting.worked()
+        self._repost_s = min(max(FIRST_REPOST_S, 2 * took_s), MAX_REPOST_S)
+        if post.client is not self.client:
+            if all(other.client is not self.client for other in self._posts):
+                self.client.close()
+            self.client = post.client
+
+    def _drop_posts(self) -> None:
+        """Ends the posts under way, and with them their connections: a late answer must not be taken for another's."""
+        for post in self._posts:
+            post.task.cancel()
+        self._posts.clear()
+
+
+def _retrieve_error(task: asyncio.Task[None]) -> None:
+    """Takes note of the error of a post that nobody asks any more, or the event loop would log it."""
+    if not task.cancelled():
+        task.exception()
 
 
 def render_notices(pending: Sequence[tuple[str, PendingNotice]]) -> tuple[bytes, list[str]]:
--- a/tests/discovery/test_notifier.py
+++ b/tests/discovery/test_notifier.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from forwarder.discovery.notifier import POST_TIMEOUT_S, RETRY_PAUSES_S, Notifier
+from forwarder.discovery.notifier import FIRST_REPOST_S, RETRY_PAUSES_S, Notifier
 from forwarder.storage.messages import PendingNotice
 from tests.discovery.peers import QuestionedDiscovery
 from tests.engine_scene import play_with_platform
@@ -18,7 +18,7 @@
 
 def test_a_post_that_gets_no_answer_is_made_again_in_time() -> None:
     """It was waited for 2.5 s."""
-    assert POST_TIMEOUT_S + RETRY_PAUSES_S[0] < LOST_S
+    assert FIRST_REPOST_S + RETRY_PAUSES_S[0] < LOST_S
 
 
 @pytest.mark.parametrize("silent", [1, 3])
@@ -56,3 +56,38 @@
         discovery.server.close()
 
     play_with_platform(scene)
+
+
+def test_a_notice_does_not_wait_for_the_answer_to_an_earlier_one() -> None:
+    """Guards against `lost`: what fell due while the platform was slow waited for the post before."""
+
+    async def scene(_: Platform) -> None:
+        discovery = await QuestionedDiscovery().start()
+        pending = {"first": PendingNotice("failed", 0, None)}
+
+        class Book:
+            def pending_notices(self) -> dict[str, PendingNotice]:
+                return dict(pending)
+
+            def acknowledge_notices(self, names: list[str]) -> None:
+                for name in names:
+                    del pending[name]
+
+        notices = Notifier(discovery.where, Book())
+        notices.wake()
+        _, slow = await discovery.questions.get()
+        pending["second"] = PendingNotice("failed", 0, None)
+        notices.wake()
+        async with asyncio.timeout(LOST_S - FIRST_REPOST_S):
+            _, other = await discovery.questions.get()
+        other.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+        while "second" in pending:
+            await asyncio.sleep(0.002)
+        assert "first" in pending
+        slow.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+        while pending:
+            await asyncio.sleep(0.002)
+        notices.client.close()
+        discovery.server.close()
+
+    play_with_platform(scene)
