Keep a connection for notices open: an end that is due needs no new socket

What callers saw: while no socket was to be had (ENFILE, 3 s), every message that fell due ended 2.5 to 2.6 s after its time, where 0.3 s is allowed (lost), in service and soon after a restart alike.

Cause: the connection for notices was opened as the first notice fell due, and closed with each failed post. Class: what is owed at a fixed time needs something new at that time.

Change: a supervised task opens the connection as the process begins to serve, and again whenever it ends (at once, or after 0.02 to 0.5 s where it lasted under 1 s); connecting is guarded, so that a post and that task open one connection. The state line tells of it. Why it works: the socket is held before it is owed; a start within the failure itself cannot listen either.

--- a/forwarder/discovery/client.py
+++ b/forwarder/discovery/client.py
@@ -20,6 +20,8 @@
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[None] | None = None
         """Is done when the answer to the request is complete; None without a request."""
+        self.ended = asyncio.Event()
+        """The connection has ended."""
 
     # Called by the event loop
 
@@ -49,6 +51,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the request that has no answer; called by the event loop."""
         self.transport = None
+        self.ended.set()
         self._end_request(ConnectionResetError("the connection ended"))
         self.reader.release()
 
@@ -116,6 +119,7 @@
     def __init__(self, address: Address) -> None:
         self.address = address
         self.channel = DiscoveryChannel()
+        self._connecting = asyncio.Lock()
 
     def close(self) -> None:
         """Closes the connection; the next request opens another."""
@@ -148,13 +152,24 @@
                 except ConnectionError:
                     pass
             await asyncio.sleep(pause_s)
-        if not self.channel.is_usable():
-            await self._connect()
+        await self._connect()
         return await self.channel.request(data)
 
+    async def connect(self, timeout_s: float) -> None:
+        """Opens the connection, if it is not open, so that the next request need not.
+
+        Raises:
+            TimeoutError: it has not come up in time.
+            OSError: discovery cannot be reached.
+        """
+        async with asyncio.timeout(timeout_s):
+            await self._connect()
+
     async def _connect(self) -> None:
-        loop = asyncio.get_running_loop()
-        _, self.channel = await loop.create_connection(DiscoveryChannel, self.address.host, self.address.port)
+        async with self._connecting:
+            if not self.channel.is_usable():
+                loop = asyncio.get_running_loop()
+                _, self.channel = await loop.create_connection(DiscoveryChannel, self.address.host, self.address.port)
 
     async def _try_connect(self) -> bool:
         """Connects; returns False where this machine could not, for a moment.
--- a/forwarder/discovery/notifier.py
+++ b/forwarder/discovery/notifier.py
@@ -28,6 +28,9 @@
 MIN_WAIT_S = 0.005
 MAX_POSTS = 6  # under way at once
 RETRY_PAUSES_S = (0.05, 0.1)  # after failed posts, the last for all further ones
+CONNECT_TIMEOUT_S = 1.0
+RECONNECT_PAUSES_S = (0.02, 0.1, 0.5)  # after the connection could not be had, the last for all further times
+LASTING_S = 1.0  # a connection that ended sooner is not opened again at once
 MAX_NOTICES_PER_POST = 500
 MAX_POST_BYTES = MAX_BODY_BYTES
 log = logging.getLogger("forwarder.discovery")
@@ -64,6 +67,7 @@
     Attributes:
         client: the connection that is used first.
         posting: since when posts fail.
+        connecting: since when the connection that is kept open cannot be had.
     """
 
     def __init__(self, address: Address, source: PendingNoticeSource, supervisor: Supervisor | None = None) -> None:
@@ -72,6 +76,7 @@
         self.source = source
         self.supervisor = supervisor or Supervisor()
         self.posting = FailureSpan(log, "post notices")
+        self.connecting = FailureSpan(log, "connect for notices")
         self._posts: list[Post] = []
         """The oldest first."""
         self._repost_s = FIRST_REPOST_S
@@ -79,6 +84,7 @@
         self._retry_at_s = 0.0
         self._wanted = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
+        self._keeping: asyncio.Task[None] | None = None
 
     def wake(self) -> None:
         """Posts what is pending as soon as possible."""
@@ -86,6 +92,27 @@
         if self._task is None:
             self._task = self.supervisor.keep("notices", self._run)
 
+    def keep_connected(self) -> None:
+        """Keeps a connection open from now on: a notice that falls due needs none to be opened then."""
+        self._keeping = self.supervisor.keep("connection for notices", self._keep_connected)
+
+    async def _keep_connected(self) -> None:
+        loop = asyncio.get_running_loop()
+        failures = 0
+        while True:
+            client = self.client
+            opened_s = loop.time()
+            try:
+                await client.connect(CONNECT_TIMEOUT_S)
+            except OSError as error:
+                self.connecting.failed(error or type(error).__name__)
+            else:
+                self.connecting.worked()
+                await client.channel.ended.wait()
+            failures = 0 if loop.time() - opened_s > LASTING_S else failures + 1
+            if failures and client is self.client:
+                await asyncio.sleep(RECONNECT_PAUSES_S[min(failures, len(RECONNECT_PAUSES_S)) - 1])
+
     def change_address(self, address: Address) -> None:
         """Posts to a new address from now on; posts that are under way are cut off and made again."""
         self._drop_posts()
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -240,6 +240,7 @@
         if self.handover is not None:
             await adopt_calls(self, self.handover)
         self.loop.run_round()
+        self.notices.keep_connected()
         self.notices.wake()
         self.admin.commands = self.commands.table()  # operators who are handed over have called one that serves
         if self.handover is not None:
--- a/forwarder/runtime/state_log.py
+++ b/forwarder/runtime/state_log.py
@@ -42,8 +42,9 @@
     )
     listener = runtime.server.listener
     log.info(
-        "state: accept %s; notices: %s",
+        "state: accept %s; connection for notices: %s; notices: %s",
         "not begun" if listener is None else listener.accepting.describe(),
+        runtime.notices.connecting.describe(),
         runtime.notices.posting.describe(),
     )
     largest = runtime.dispatcher.hold_times.totals()[:MOST_HOLD_REASONS]
