Answer each error of accept by what helps: close for a missing descriptor alone

What callors saw: while accept(2) failed for a share of its calls, kept connections were closed, and new ones waited 0.1 s for each failure: with 0.3 failing a request was answered after 5.4 s in the median, 12.3 s at most times (99th percentile), long past its time (lost, of every request that came), and after the failure's end the queue was still being worked off.

Cause: any error of accept but those of one connection closed up to eight idle clients and paused accepting for 0.1 s. ENFILE, ENOBUFS and ENOMEM are the machine's: closing frees nothing, and those who were closed come back into the queue. Class: a failure that passes, answered by a step that makes it worse and lasts longer.

Change: three tries in a turn, then a pause of 5 ms, doubled to 40 ms. A descriptor in reserve is given to the call that meets EMFILE; only where it cannot be had again is one idle client closed, one for each new connection. Why it works: whether a descriptor is short is asked of the kernel, by filling the reserve, and nothing is closed on any other answer.

--- a/forwarder/clients/listener.py
+++ b/forwarder/clients/listener.py
@@ -14,6 +14,7 @@
 
 from forwarder.clients.arrival_time import PatientSocket, waited_us
 from forwarder.config.config import Address
+from forwarder.runtime.descriptor_reserve import DescriptorReserve
 from forwarder.runtime.descriptor_watch import ready_now
 from forwarder.runtime.failure_span import FailureSpan
 from forwarder.units import SECOND_US
@@ -21,7 +22,9 @@
 BIND_TIMEOUT_S = 5.0
 BIND_RETRY_INTERVAL_S = 0.05
 MAX_ACCEPTS = 64  # connections accepted in one turn of the event loop
-FAILURE_PAUSE_S = 0.1  # how long nothing is accepted after a failure
+FIRST_FAILURE_PAUSE_S = 0.005  # how long nothing is accepted after a failure; doubled while it goes on failing
+MAX_FAILURE_PAUSE_S = 0.04  # short of what a client waits for its answer (PROTOCOL: 0.4 s)
+TRIES_IN_A_TURN = 3  # of accept, before a pause
 FULL_PAUSE_S = 0.002  # and while no connection is free: a closed one is gone in the event loop's next turn
 ERRORS_OF_ONE_CONNECTION = frozenset(
     {
@@ -126,7 +129,8 @@
         backlog: how many connections may wait to be accepted.
         make_protocol: makes what serves a connection, from how long it may have waited until then, in microseconds.
         free_slots: returns how many more connections there may be now.
-        on_shortage: is called where no descriptor or memory for a connection is to be had, so that some can be freed.
+        on_failure: is told each error of accept that is not about the connection that was waiting.
+        reserve: helps where the process has no descriptor left; None for no help.
         handed_over: whether the socket has listened in another process, so that connections may have waited for long.
 
     Attributes:
@@ -139,15 +143,18 @@
         backlog: int,
         make_protocol: Callable[[int], asyncio.BaseProtocol],
         free_slots: Callable[[], int] = unlimited_slots,
-        on_shortage: Callable[[OSError], None] | None = None,
+        on_failure: Callable[[OSError], None] | None = None,
+        reserve: DescriptorReserve | None = None,
         handed_over: bool = False,
     ) -> None:
         self.sock = sock
         self.make_protocol = make_protocol
         self.free_slots = free_slots
-        self.on_shortage = on_shortage
+        self.on_failure = on_failure
+        self.reserve = reserve
         self.attaching: dict[PatientSocket, asyncio.Task[None]] = {}
         self.accepting = FailureSpan(log, "accept")
+        self._failure_pause_s = FIRST_FAILURE_PAUSE_S
         self._queued_since_s: float | None = UNKNOWN_TIME_S if handed_over else None
         """Since when connections may lie in the kernel's queue; None once it was found empty."""
         self._queue_poll = select.poll()
@@ -199,31 +206,54 @@
         if free_slots <= 0:
             self._pause(FULL_PAUSE_S)
             return
+        failures = 0
         for _ in range(min(MAX_ACCEPTS, free_slots)):
             try:
-                accepted, _ = self.sock.accept()
+                accepted = self._accept_one()
             except BlockingIOError:
                 self._queued_since_s = None
                 return
             except OSError as error:
                 if error.errno in ERRORS_OF_ONE_CONNECTION:
                     continue
-                self._accept_failed(error)
+                self._note_failure(error)
+                failures += 1
+                if failures < TRIES_IN_A_TURN and not self._is_short_of_descriptors():
+                    continue
+                self._pause(self._failure_pause_s)
+                self._failure_pause_s = min(2 * self._failure_pause_s, MAX_FAILURE_PAUSE_S)
                 return
-            self.accepting.worked()
-            sock = PatientSocket.of(accepted)
-            sock.setblocking(False)
-            attaching = self.attach(sock, self._queued_since_s)
-            self.attaching[sock] = asyncio.get_running_loop().create_task(attaching)
+            self._attach_accepted(accepted, self._queued_since_s)
+            if self._is_short_of_descriptors():
+                return  # what was closed instead is free in the event loop's next turn
         if ready_now(self._queue_poll) == []:
             self._queued_since_s = None
 
-    def _accept_failed(self, error: OSError) -> None:
-        """No connection can be accepted, most likely for want of descriptors."""
+    def _accept_one(self) -> socket.socket:
+        """Takes a connection out of the queue.
+
+        Raises:
+            BlockingIOError: none waits.
+            OSError: none can be accepted just now, or the one that waited has failed.
+        """
+        accepted, _ = self.sock.accept() if self.reserve is None else self.reserve.lend(self.sock.accept)
+        self.accepting.worked()
+        self._failure_pause_s = FIRST_FAILURE_PAUSE_S
+        return accepted
+
+    def _is_short_of_descriptors(self) -> bool:
+        return self.reserve is not None and not self.reserve.is_held
+
+    def _attach_accepted(self, accepted: socket.socket, queued_since_s: float) -> None:
+        sock = PatientSocket.of(accepted)
+        sock.setblocking(False)
+        self.attaching[sock] = asyncio.get_running_loop().create_task(self.attach(sock, queued_since_s))
+
+    def _note_failure(self, error: OSError) -> None:
+        """What is short is the whole machine's, or the reserve has helped already: the next try may well work."""
         self.accepting.failed(error)
-        if self.on_shortage is not None:
-            self.on_shortage(error)
-        self._pause(FAILURE_PAUSE_S)
+        if self.on_failure is not None:
+            self.on_failure(error)
 
 
 def _passed_us(since_s: float) -> int:
--- a/forwarder/clients/server.py
+++ b/forwarder/clients/server.py
@@ -14,6 +14,7 @@
 from forwarder.clients.listener import Listener, descriptor, unread
 from forwarder.clients.submission import BadRequestError, ClientRequest, Submission, parse_submission
 from forwarder.decisions.settings import Settings
+from forwarder.runtime.descriptor_reserve import DescriptorReserve
 from forwarder.runtime.handover_format import ClientRecord
 from forwarder.runtime.reason_counts import ReasonCounts, Subject
 from forwarder.runtime.supervisor import Supervisor
@@ -21,7 +22,6 @@
 READ_BUFFER_BYTES = 16 * 1024  # read at once from one client, so that a flood of requests does not hold up the others
 STALL_TIMEOUT_US = 2_000_000  # how long a peer may send no request, or only a part of one (PROTOCOL: 3 s)
 MAX_OVERSHOOT = 16  # connections over the bound: a new one is accepted before another is closed for it
-SHORTAGE_EVICTIONS = 8  # connections closed at once where the process is short of descriptors
 MAX_EVICTION_LOOKS = 32  # connections looked at for one that may be closed to make room
 NEW_CONNECTION_US = 500_000  # how long the first request of a new connection is waited for
 SWEEP_INTERVAL_S = 0.25
@@ -50,6 +50,7 @@
         eviction_order: the others, by how soon they are closed to make room.
         draining: whether clients are sent away.
         closed: whether the process ends.
+        descriptor_reserve: helps whoever needs a descriptor where the process has none left.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         self.draining = False
         self.closed = False
         self.listener: Listener | None = None
+        self.descriptor_reserve = DescriptorReserve(self.evict_for_descriptor)
 
     def listen(self, sock: socket.socket, handed_over: bool = False) -> None:
         """Begins to accept connections on a bound socket, which may have listened in another process."""
@@ -82,7 +84,8 @@
             BACKLOG,
             lambda accept_delay_us: ClientConnection(self, accept_delay_us=accept_delay_us),
             self.free_slots,
-            self.evict_for_descriptors,
+            self._note_accept_failure,
+            self.descriptor_reserve,
             handed_over,
         )
         self.supervisor.repeat("sweep of clients", SWEEP_INTERVAL_S, self.sweep)
@@ -171,12 +174,12 @@
         self.closing.discard(connection)
         self.eviction_order.discard(connection)
 
-    def evict_for_descriptors(self, error: OSError) -> None:
-        """Closes some idle connections where no descriptor is to be had: without one nothing is accepted or sent."""
+    def evict_for_descriptor(self) -> bool:
+        """Closes one idle connection where the process has no descriptor left; returns whether there was one."""
+        return self._evict("short of descriptors")
+
+    def _note_accept_failure(self, error: OSError) -> None:
         self.reasons.note(Subject.REFUSAL, f"cannot accept: {error.strerror}")
-        evictions = 0
-        while evictions < SHORTAGE_EVICTIONS and self._evict("short of descriptors"):
-            evictions += 1
 
     def _is_over_bound(self) -> bool:
         return len(self.connections) - len(self.closing) > self.max_connections
@@ -239,6 +242,7 @@
             self.listener.close()
         for connection in list(self.connections):
             connection.close("the process ends")
+        self.descriptor_reserve.close()
 
 
 def _is_evictable(connection: ClientConnection) -> bool:
--- a/tests/clients/test_eviction_order.py
+++ b/tests/clients/test_eviction_order.py
@@ -104,7 +104,7 @@
         for client in clients:
             client.send(b"GET /up HTTP/1.1\r\n\r\n")
         looks = server.eviction_order.looks
-        server.evict_for_descriptors(OSError(24, "Too many open files"))
+        server.evict_for_descriptor()
         assert server.eviction_order.looks - looks <= MAX_EVICTION_LOOKS
         assert not server.closing
         for client in clients:
