Send and read on endpoint connections patiently: a lack of buffers costs no attempt

Cause: asyncio ends a connection on any error of send but EAGAIN and EINTR; a call that was not written counted as an endpoint that cannot be reached, used an attempt up and told of an outage.

Change: connections to endpoints and to discovery are PatientSockets, made by runtime/patient_socket.connect. A request's first bytes are sent at once: where no buffer is to be had, nothing has left, the call is held back (LOCAL_FAILURE) and the connection kept. A request that is half sent waits for room; given up then, it never ran, and says nothing of the endpoint. The last read of a connection is tried three times. Where no descriptor is left for a new connection, the reserve serves. NOT_CHECKED is NOT_SENT now, for both reasons.

Stand-ins for transports in tests have a socket that takes nothing, so that they are written to as before. Why it works: whether a byte has left is known from the call itself, not from what the event loop makes of its error.

--- a/forwarder/clients/arrival_time.py
+++ b/forwarder/clients/arrival_time.py
@@ -8,23 +8,15 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import selectors
-import socket
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from forwarder.runtime.descriptor_watch import PatientEpoll
 
-if TYPE_CHECKING:
-    from _typeshed import ReadableBuffer, WriteableBuffer
-
 NO_WAIT_S = 0.0
 OVERSLEPT_NS = 20_000_000
 """A poll that returns so long after its time-out did not wait for that: the process stood still in it."""
-TRANSIENT_ERRORS = frozenset({errno.ENOBUFS, errno.ENOMEM})
-"""Errors of send(2) and recv(2) that say nothing about the connection."""
 
 
 class TimedSelector(selectors.EpollSelector):
@@ -132,45 +124,3 @@
     def _polled(self, is_reading: Callable[[], bool]) -> None:
         if is_reading():
             self.unread_since_us = None
-
-
-class PatientSocket(socket.socket):
-    """A socket that tries again where memory or buffers were not to be had.
-
-    The event loop makes the call again when it next finds the socket ready. To end the connection instead would leave
-    its request unanswered.
-    """
-
-    @classmethod
-    def of(cls, sock: socket.socket) -> PatientSocket:
-        """Takes the place of a plain socket, which has no descriptor any more then."""
-        return cls(sock.family, sock.type, sock.proto, sock.detach())
-
-    def recv_into(self, buffer: WriteableBuffer, nbytes: int = 0, flags: int = 0) -> int:
-        """Reads into a buffer, as the base class does.
-
-        Raises:
-            BlockingIOError: nothing can be read now.
-            OSError: the connection has failed.
-        """
-        try:
-            return super().recv_into(buffer, nbytes, flags)
-        except OSError as error:
-            raise _to_be_retried(error) from None
-
-    def send(self, data: ReadableBuffer, flags: int = 0) -> int:
-        """Sends from a buffer, as the base class does.
-
-        Raises:
-            BlockingIOError: nothing can be sent now.
-            OSError: the connection has failed.
-        """
-        try:
-            return super().send(data, flags)
-        except OSError as error:
-            raise _to_be_retried(error) from None
-
-
-def _to_be_retried(error: OSError) -> OSError:
-    """Returns a transient error in the form by which the event loop knows it."""
-    return BlockingIOError(errno.EAGAIN, str(error)) if error.errno in TRANSIENT_ERRORS else error
--- a/forwarder/clients/listener.py
+++ b/forwarder/clients/listener.py
@@ -12,11 +12,12 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from forwarder.clients.arrival_time import PatientSocket, waited_us
+from forwarder.clients.arrival_time import waited_us
 from forwarder.config.config import Address
 from forwarder.runtime.descriptor_reserve import DescriptorReserve
 from forwarder.runtime.descriptor_watch import ready_now
 from forwarder.runtime.failure_span import FailureSpan
+from forwarder.runtime.patient_socket import PatientSocket
 from forwarder.units import SECOND_US
 
 BIND_TIMEOUT_S = 5.0
--- a/forwarder/clients/server.py
+++ b/forwarder/clients/server.py
@@ -8,7 +8,6 @@
 from functools import partial
 from http import HTTPStatus
 
-from forwarder.clients.arrival_time import PatientSocket
 from forwarder.clients.client_connection import CLIENT_TIMEOUT_US, ClientConnection
 from forwarder.clients.eviction_order import EvictionOrder
 from forwarder.clients.listener import Listener, descriptor, unread
@@ -16,6 +15,7 @@
 from forwarder.decisions.settings import Settings
 from forwarder.runtime.descriptor_reserve import DescriptorReserve
 from forwarder.runtime.handover_format import ClientRecord
+from forwarder.runtime.patient_socket import PatientSocket
 from forwarder.runtime.reason_counts import ReasonCounts, Subject
 from forwarder.runtime.supervisor import Supervisor
 
--- a/forwarder/discovery/client.py
+++ b/forwarder/discovery/client.py
@@ -8,6 +8,7 @@
 from forwarder.config.config import Address
 from forwarder.endpoints.local_errors import LOCAL_ERRORS
 from forwarder.protocol.http1 import MAX_ENDPOINT_LIST_BYTES, BadResponseError, ResponseReader, render_request
+from forwarder.runtime.patient_socket import connect
 
 RECONNECT_PAUSES_S = (0.0, 0.02, 0.05)  # short: until an answer has been read, calls go by an older endpoint list
 
@@ -168,8 +169,7 @@
     async def _connect(self) -> None:
         async with self._connecting:
             if not self.channel.is_usable():
-                loop = asyncio.get_running_loop()
-                _, self.channel = await loop.create_connection(DiscoveryChannel, self.address.host, self.address.port)
+                self.channel = await connect(lambda _: DiscoveryChannel(), self.address)
 
     async def _try_connect(self) -> bool:
         """Connects; returns False where this machine could not, for a moment.
--- a/forwarder/endpoints/connection.py
+++ b/forwarder/endpoints/connection.py
@@ -19,9 +19,11 @@
 from forwarder.endpoints.call import EndpointCall
 from forwarder.protocol.http1 import MAX_BODY_BYTES, BadResponseError, ResponseReader
 from forwarder.runtime.descriptor_watch import ready_now
+from forwarder.runtime.patient_socket import TRANSIENT_ERRORS, PatientSocket
 from forwarder.runtime.reason_counts import ReasonCounts, Subject
 
 GIVEN_UP_S = 0.1  # how long an answer that crosses the end of its call is waited for (PROTOCOL: an end is due in 0.3 s)
+PENDING_READ_TRIES = 3  # of the last read of a connection, where buffers are short
 UNREQUESTED_DATA = "bytes or an end that nothing asked for"
 log = logging.getLogger("forwarder.client")
 
@@ -33,8 +35,8 @@
     """It was handed to the socket, or waits for room there."""
     CONNECTION_DEAD = enum.auto()
     """No byte has left: the connection had ended, or something had come on it that nothing asked for."""
-    NOT_CHECKED = enum.auto()
-    """No byte has left: the kernel could not tell whether something had come. The connection is as it was."""
+    NOT_SENT = enum.auto()
+    """No byte has left: this machine could not look at the connection, or not send on it. It is as it was."""
 
 
 class CallObserver(Protocol):
@@ -74,12 +76,16 @@
 
     Args:
         owner: the pool that the connection belongs to.
+        sock: its socket.
         call: the call that another process has written on it, if any.
         received: what that process has read of the call's answer.
     """
 
-    def __init__(self, owner: ConnectionOwner, call: EndpointCall | None = None, received: bytes = b"") -> None:
+    def __init__(
+        self, owner: ConnectionOwner, sock: PatientSocket, call: EndpointCall | None = None, received: bytes = b""
+    ) -> None:
         self.owner = owner
+        self.sock = sock
         self.idle_since_us = 0
         self.current_call = call
         self.given_up: Outcome | None = None
@@ -144,14 +150,23 @@
         assert self.transport is not None
         unread = ready_now(self._unread)
         if unread is None:
-            return SendResult.NOT_CHECKED
+            return SendResult.NOT_SENT
         if unread:
             self.close(UNREQUESTED_DATA)
             return SendResult.CONNECTION_DEAD
+        try:
+            sent = self.sock.send(request)
+        except BlockingIOError:
+            if self.sock.is_short_of_buffers:
+                return SendResult.NOT_SENT
+            sent = 0
+        except OSError as error:
+            self.close(f"cannot send: {error.strerror}")
+            return SendResult.CONNECTION_DEAD
         self.reader.renew()
         self.received.clear()
         self._answered = False
-        self.transport.write(request)
+        self.transport.write(memoryview(request)[sent:])
         if self.transport.is_closing():
             return SendResult.CONNECTION_DEAD
         self.current_call = call
@@ -184,7 +199,10 @@
         self.current_call = None
         if call is not None:
             call.connection = None
-            self.owner.in_flight.connection_broke(call, self.reader, self.given_up)
+            is_local = not call.written and self.sock.is_short_of_buffers
+            self.owner.in_flight.connection_broke(
+                call, self.reader, Outcome.LOCAL_FAILURE if is_local else self.given_up
+            )
 
     def close(self, reason: str = "on demand") -> None:
         """Closes the connection at once, by a reset if a call is in flight. `reason` is counted and logged."""
@@ -238,8 +256,12 @@
         return b""
     borrowed = socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
     try:
-        return borrowed.recv(2 * MAX_BODY_BYTES)
-    except OSError:
+        for _ in range(PENDING_READ_TRIES):
+            try:
+                return borrowed.recv(2 * MAX_BODY_BYTES)
+            except OSError as error:
+                if error.errno not in TRANSIENT_ERRORS:
+                    break
         return b""
     finally:
         borrowed.detach()
--- a/forwarder/endpoints/in_flight_calls.py
+++ b/forwarder/endpoints/in_flight_calls.py
@@ -109,8 +109,10 @@
         is_delivery = given_up is Outcome.TIMED_OUT and reader.says_ok() and not call.batched
         if given_up is None or is_delivery:
             self.answer_ended(call, reader, broken=True)
+        elif call.written or given_up is Outcome.LOCAL_FAILURE:
+            self.finish(call, CallResult(given_up))
         else:
-            self.finish(call, CallResult(given_up if call.written else Outcome.NO_CONNECTION))
+            self.finish(call, CallResult(Outcome.NO_CONNECTION))
 
     def finish(self, call: EndpointCall, result: CallResult, report: LoadReport | None = None) -> None:
         """Ends a call with the same result for all messages that are open."""
--- a/forwarder/endpoints/pool.py
+++ b/forwarder/endpoints/pool.py
@@ -6,6 +6,7 @@
 import errno
 import socket
 from collections.abc import Callable
+from functools import partial
 
 from forwarder.config.config import Address
 from forwarder.decisions.outcomes import Outcome
@@ -17,6 +18,7 @@
 from forwarder.endpoints.local_errors import LOCAL_ERRORS
 from forwarder.endpoints.request_rendering import render_call
 from forwarder.endpoints.retry_after import RetryAfterTable
+from forwarder.runtime.descriptor_reserve import DescriptorReserve
 from forwarder.runtime.handover_format import (
     NO_CONNECTION,
     AttemptRecord,
@@ -25,6 +27,7 @@
     PoolRecord,
 )
 from forwarder.runtime.invariants import Invariants
+from forwarder.runtime.patient_socket import PatientSocket, connect
 from forwarder.runtime.reason_counts import ReasonCounts, Subject
 from forwarder.runtime.supervisor import Supervisor
 from forwarder.units import SECOND_US
@@ -48,6 +51,9 @@
         reasons: counts why connections were closed and calls held back.
         invariants: says whether a message may be sent; without it only the route is checked.
         supervisor: runs the sweep, and counts unexpected errors.
+
+    Attributes:
+        descriptor_reserve: helps where the process has no descriptor left; None for no help.
     """
 
     def __init__(
@@ -72,6 +78,7 @@
         self.addresses: dict[int, Address] = {}
         """The endpoints that may be called, by number."""
         self.connections: set[EndpointConnection] = set()
+        self.descriptor_reserve: DescriptorReserve | None = None
         self.idle = IdleConnections(clock, self.supervisor)
         self._connecting: set[asyncio.Task[None]] = set()
         self.apply_settings(report_fields, idle_timeout_us, connect_timeout_us)
@@ -139,16 +146,16 @@
             if connection.is_closing():
                 continue
             result = connection.send(call, self._render(call))
-            if result is SendResult.NOT_CHECKED:
+            if result is SendResult.NOT_SENT:
                 self.idle.put_back(connection, call.endpoint)
-                self._hold_back_unchecked(call)
+                self._hold_back_unsent(call)
             if result is not SendResult.CONNECTION_DEAD:
                 return True
         return False
 
-    def _hold_back_unchecked(self, call: EndpointCall) -> None:
-        """Ends a call whose connection could not be looked at: that says nothing of the endpoint."""
-        self.reasons.note(Subject.HELD_BACK, "call: its connection could not be looked at", call.items[0].id)
+    def _hold_back_unsent(self, call: EndpointCall) -> None:
+        """Ends a call that this machine could not send on its connection: that says nothing of the endpoint."""
+        self.reasons.note(Subject.HELD_BACK, "call: this machine could not send it", call.items[0].id)
         self.finish(call, CallResult(Outcome.LOCAL_FAILURE))
 
     async def _connect_guarded(self, call: EndpointCall, address: Address) -> None:
@@ -157,13 +164,10 @@
             self.finish(call, CallResult(Outcome.LOCAL_FAILURE if call.connection is None else Outcome.RESET))
 
     async def _connect_and_send(self, call: EndpointCall, address: Address) -> None:
-        loop = asyncio.get_running_loop()
         timeout_us = min(self.connect_timeout_us, call.timeout_at_us - self.clock())
         try:
             async with asyncio.timeout(max(MIN_CONNECT_TIMEOUT_S, timeout_us / SECOND_US)):
-                _, connection = await loop.create_connection(
-                    lambda: EndpointConnection(self), address.host, address.port
-                )
+                connection = await connect(partial(EndpointConnection, self), address, self.descriptor_reserve)
         except OSError as error:
             self.finish(call, CallResult(self._outcome_of_connect_error(error, call)))
             return
@@ -182,8 +186,8 @@
         result = connection.send(call, self._render(call))
         if result is SendResult.CONNECTION_DEAD:
             self.finish(call, CallResult(Outcome.NO_CONNECTION))
-        elif result is SendResult.NOT_CHECKED:
-            self._hold_back_unchecked(call)
+        elif result is SendResult.NOT_SENT:
+            self._hold_back_unsent(call)
             self.keep_idle(connection, call.endpoint)
 
     def _outcome_of_connect_error(self, error: OSError, call: EndpointCall) -> Outcome:
@@ -266,7 +270,7 @@
             self.finish(call, CallResult(Outcome.NOT_SENT))
             return
         call.written = True
-        await self._attach(sock, lambda: EndpointConnection(self, call, received))
+        await self._attach(sock, call, received)
         self.in_flight.start_timeout(call)
 
     async def adopt_idle(self, endpoint: int, sock: socket.socket, idle_since_us: int) -> None:
@@ -275,14 +279,19 @@
         Raises:
             OSError: the connection cannot be used.
         """
-        connection = await self._attach(sock, lambda: EndpointConnection(self))
+        connection = await self._attach(sock)
         if not connection.is_closing():
             self.keep_idle(connection, endpoint)
             connection.idle_since_us = idle_since_us
 
-    async def _attach(self, sock: socket.socket, make: Callable[[], EndpointConnection]) -> EndpointConnection:
-        sock.setblocking(False)
-        _, connection = await asyncio.get_running_loop().create_connection(make, sock=sock)
+    async def _attach(
+        self, sock: socket.socket, call: EndpointCall | None = None, received: bytes = b""
+    ) -> EndpointConnection:
+        patient = PatientSocket.of(sock)
+        patient.setblocking(False)
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: EndpointConnection(self, patient, call, received), sock=patient
+        )
         if not connection.is_closing():
             self.connections.add(connection)
         return connection
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -142,6 +142,7 @@
             self.invariants,
             self.supervisor,
         )
+        self.pool.descriptor_reserve = self.server.descriptor_reserve
         self.drain = ClientDrain(self.server, self.supervisor)
 
     def _build_discovery(self) -> None:
--- /dev/null
+++ b/forwarder/runtime/patient_socket.py
@@ -0,0 +1,109 @@
+"""Sockets whose connection outlasts a passing shortage of this machine, and connecting with them."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+from typing import TYPE_CHECKING, TypeVar
+
+from forwarder.config.config import Address
+from forwarder.runtime.descriptor_reserve import DescriptorReserve
+
+if TYPE_CHECKING:
+    from _typeshed import ReadableBuffer, WriteableBuffer
+
+TRANSIENT_ERRORS = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EINTR})
+"""Errors of send(2) and recv(2) that say nothing about the connection."""
+Made = TypeVar("Made", bound=asyncio.BaseProtocol)
+
+
+class PatientSocket(socket.socket):
+    """A socket that tries again where memory or buffers were not to be had.
+
+    The event loop makes the call again when it next finds the socket ready. To end the connection instead would leave
+    its request unanswered.
+    """
+
+    is_short_of_buffers = False
+    """Whether the last send failed for want of memory or buffers, so that it says nothing about the peer."""
+
+    @classmethod
+    def of(cls, sock: socket.socket) -> PatientSocket:
+        """Takes the place of a plain socket, which has no descriptor any more then."""
+        return cls(sock.family, sock.type, sock.proto, sock.detach())
+
+    def recv(self, bufsize: int, flags: int = 0) -> bytes:
+        """Reads, as the base class does.
+
+        Raises:
+            BlockingIOError: nothing can be read now.
+            OSError: the connection has failed.
+        """
+        try:
+            return super().recv(bufsize, flags)
+        except OSError as error:
+            raise _to_be_retried(error) from None
+
+    def recv_into(self, buffer: WriteableBuffer, nbytes: int = 0, flags: int = 0) -> int:
+        """Reads into a buffer, as the base class does.
+
+        Raises:
+            BlockingIOError: nothing can be read now.
+            OSError: the connection has failed.
+        """
+        try:
+            return super().recv_into(buffer, nbytes, flags)
+        except OSError as error:
+            raise _to_be_retried(error) from None
+
+    def send(self, data: ReadableBuffer, flags: int = 0) -> int:
+        """Sends from a buffer, as the base class does.
+
+        Raises:
+            BlockingIOError: nothing can be sent now.
+            OSError: the connection has failed.
+        """
+        try:
+            sent = super().send(data, flags)
+        except OSError as error:
+            self.is_short_of_buffers = error.errno in TRANSIENT_ERRORS
+            raise _to_be_retried(error) from None
+        self.is_short_of_buffers = False
+        return sent
+
+
+async def connect(
+    make_protocol: Callable[[PatientSocket], Made], address: Address, reserve: DescriptorReserve | None = None
+) -> Made:
+    """Connects to an address, and returns the protocol of the connection.
+
+    Args:
+        make_protocol: makes the protocol from the connection's socket.
+        address: where to connect to.
+        reserve: helps where the process has no descriptor left.
+
+    Raises:
+        OSError: no connection can be had.
+    """
+    loop = asyncio.get_running_loop()
+    sock = _make_socket(address) if reserve is None else reserve.lend(lambda: _make_socket(address))
+    try:
+        sock.setblocking(False)
+        await loop.sock_connect(sock, (address.host.strip("[]"), address.port))
+        _, protocol = await loop.create_connection(lambda: make_protocol(sock), sock=sock)
+    except BaseException:
+        sock.close()
+        raise
+    return protocol
+
+
+def _make_socket(address: Address) -> PatientSocket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    return PatientSocket(family, socket.SOCK_STREAM)
+
+
+def _to_be_retried(error: OSError) -> OSError:
+    """Returns a transient error in the form by which the event loop knows it."""
+    return BlockingIOError(errno.EAGAIN, str(error)) if error.errno in TRANSIENT_ERRORS else error
--- a/forwarder/streaming/extension.py
+++ b/forwarder/streaming/extension.py
@@ -15,7 +15,6 @@
 from dataclasses import dataclass
 
 from forwarder.admin.server import CommandTable, without_arguments
-from forwarder.clients.arrival_time import PatientSocket
 from forwarder.clients.listener import Listener, bind
 from forwarder.config.config import Address, Config
 from forwarder.config.extensions_file import ExtensionTable
@@ -31,6 +30,7 @@
 )
 from forwarder.protocol.http1 import Headers, parse_load_report, parse_retry_after_us
 from forwarder.runtime.extension import ExtensionHost
+from forwarder.runtime.patient_socket import PatientSocket
 from forwarder.streaming.client_session import ClientSession
 from forwarder.streaming.connection import BufferAccount, StreamConnection
 from forwarder.streaming.endpoint_connections import EndpointConnections
--- a/tests/endpoints/peers.py
+++ b/tests/endpoints/peers.py
@@ -27,6 +27,15 @@
     )
 
 
+class FullSocket:
+    """The socket of a stand-in for a transport: it takes nothing at once, so that the transport is written to."""
+
+    is_short_of_buffers = False
+
+    def send(self, data: bytes) -> int:
+        raise BlockingIOError
+
+
 class HalfWrittenTransport(asyncio.Transport):
     """A transport whose peer takes no more."""
 
--- a/tests/endpoints/test_connection.py
+++ b/tests/endpoints/test_connection.py
@@ -16,7 +16,7 @@
 from forwarder.endpoints.call import CallItem, EndpointCall, LimitScopeKey
 from forwarder.endpoints.connection import EndpointConnection
 from forwarder.storage.clock import Clock
-from tests.endpoints.peers import OK_ANSWER, HalfWrittenTransport, SocketEndpoint, make_call, make_pool
+from tests.endpoints.peers import OK_ANSWER, FullSocket, HalfWrittenTransport, SocketEndpoint, make_call, make_pool
 from tests.engine_scene import play_with_platform
 from tests.platforms import Platform
 from tests.sockets import PATIENCE, Peer, Request
@@ -28,7 +28,7 @@
         pool = make_pool(ends)
         pool.update_addresses({1: Address("127.0.0.1", 9)})
         for drained in (False, True):
-            connection = EndpointConnection(pool)
+            connection = EndpointConnection(pool, FullSocket())
             connection.connection_made(HalfWrittenTransport())
             pool.keep_idle(connection, 1)
             pool.start(make_call(Clock(), "m"))
--- a/tests/endpoints/test_idle_connections.py
+++ b/tests/endpoints/test_idle_connections.py
@@ -7,7 +7,7 @@
 from forwarder.endpoints.connection import EndpointConnection
 from forwarder.endpoints.idle_connections import MAX_IDLE_PER_ENDPOINT, IdleConnections
 from forwarder.runtime.supervisor import Supervisor
-from tests.endpoints.peers import HalfWrittenTransport, make_pool
+from tests.endpoints.peers import FullSocket, HalfWrittenTransport, make_pool
 
 
 class ClosableTransport(HalfWrittenTransport):
@@ -23,7 +23,7 @@
 
 
 def make_connection() -> EndpointConnection:
-    connection = EndpointConnection(make_pool([]))
+    connection = EndpointConnection(make_pool([]), FullSocket())
     connection.connection_made(ClosableTransport())
     return connection
 
--- a/tests/endpoints/test_pool.py
+++ b/tests/endpoints/test_pool.py
@@ -16,7 +16,7 @@
 from forwarder.endpoints.connection import EndpointConnection
 from forwarder.endpoints.pool import ConnectionPool
 from forwarder.storage.clock import Clock
-from tests.endpoints.peers import OK_ANSWER, DeadTransport, SocketEndpoint, make_call, make_pool
+from tests.endpoints.peers import OK_ANSWER, DeadTransport, FullSocket, SocketEndpoint, make_call, make_pool
 from tests.engine_scene import DUE_US, SECOND, play_with_platform
 from tests.platforms import Platform
 from tests.sockets import OK, Answer, Peer, Request, Skewed, always
@@ -107,7 +107,7 @@
         pool = make_pool(ends)
         pool.update_addresses({1: Address("127.0.0.1", peer.port)})
         for _ in range(2):
-            connection = EndpointConnection(pool)
+            connection = EndpointConnection(pool, FullSocket())
             connection.connection_made(DeadTransport())
             pool.keep_idle(connection, 1)
         pool.start(make_call(Clock(), "m"))
--- a/tests/runtime/test_failing_send.py
+++ b/tests/runtime/test_failing_send.py
@@ -75,3 +75,29 @@
         assert not platform.notices
 
     play(scene, tmp_path)
+
+
+def test_messages_arrive_once_though_requests_leave_in_pieces_between_failures(tmp_path: Path) -> None:
+    """Guards against a call that was half sent as buffers ran out, and counted as the endpoint's failure."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await start_endpoint(platform, always(OK))
+        node = Node(folder, platform, max_open=MAX_OPEN_MESSAGES)
+        end_with_scene(node)
+        await node.fail()
+        await node.start()
+        load = SteadyLoad(node)
+        await load.start()
+        await asyncio.sleep(BEFORE_S)
+        await node.fail(Failure("short", share=0.7), Failure("send", "ENOBUFS", 0.7))
+        await asyncio.sleep(FAILING_S)
+        await node.fail()
+        await load.finish()
+        accepted = load.accepted()
+        await peer.wait_until(lambda: set(received_ids(peer)) >= set(accepted))
+        await asyncio.sleep(BACK_S)
+        assert sorted(received_ids(peer)) == sorted(accepted)
+        assert not platform.notices
+        assert "in outage" not in "".join(node.log)
+
+    play(scene, tmp_path)
