Count a request's time from when it lay there to be read, not from when a read worked

What callors saw: while recv(2) on clients' connections failed for want of buffers (ENOBUFS, ENOMEM), a request that lay in the kernel was taken for one just come when it was read at last: it ended up to the whole failure after its time (0.25 s too late for 0.8 s of it; lost, of every request that came meanwhile).

Cause: each poll reported the connection anew, and only the last before the read that worked was counted. Class: a time that is taken where something is noticed, not where it began.

Change: ArrivalEstimate.readable, called as the event loop is about to read, keeps the first time until something is read. Why it works: the event loop asks for a buffer before each read, so a read that fails is seen too.

--- a/forwarder/clients/arrival_time.py
+++ b/forwarder/clients/arrival_time.py
@@ -97,6 +97,11 @@
         self.unread_since_us: int | None = unread_since_us
         """None while the event loop could tell of all that came."""
 
+    def readable(self, now_us: int) -> None:
+        """Something is about to be read. Should that fail, it lies there until the next time."""
+        if self.unread_since_us is None:
+            self.unread_since_us = now_us - waited_us()
+
     def take(self, now_us: int) -> int:
         """Returns the earliest arrival of what is read now. What is read next has come after this."""
         arrived_us = now_us - waited_us()
--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -113,6 +113,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns where to put what is read; called by the event loop."""
+        self._arrivals.readable(self.server.clock())
         return self.server.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
--- a/tests/runtime/test_notices_in_time.py
+++ b/tests/runtime/test_notices_in_time.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lab.shim import Failure
-from tests.nodes import Node
+from tests.nodes import Node, message
 from tests.platforms import Platform
 from tests.scenes import end_with_scene, play, received_ids, start_endpoint, start_node
 from tests.sockets import Answer, Request, hang, once
@@ -113,3 +113,30 @@
             await peer.wait_until(lambda: "second" in received_ids(peer))
 
     play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("error", ["ENOMEM", "ENOBUFS"])
+def test_the_time_of_a_request_goes_on_while_it_cannot_be_read(tmp_path: Path, error: str) -> None:
+    """Guards against `lost`: a request that lay in the kernel for want of buffers was taken for one just come."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        await start_endpoint(platform, hang)
+        times = NoticeTimes(platform)
+        node = Node(folder, platform)
+        end_with_scene(node)
+        await node.fail()
+        await node.start()
+        client = await node.client()
+        assert (await client.submit("before", "status"))[0] == 202
+        await node.fail(Failure("client-recv", error))
+        sent_s = time.monotonic()
+        client.writer.write(message("late", "status", left="1.2"))
+        await asyncio.sleep(0.8)
+        await node.fail()
+        status, _ = await client.answer()
+        if status == 202:
+            await platform.wait_for_notice("late")
+            assert times.came_s["late"] - sent_s < 1.2 + LOST_AFTER_S
+        assert status in (202, 429)
+
+    play(scene, tmp_path)
