Withdraw a message whose 202 never began to leave before its client went

What callors saw: a 202 could not leave (client-send: ENOMEM, ENOBUFS); the client closed after 0.4 s and handed the message in elsewhere, where it ran; the forwarder sent its own copy as well, also after a restart: an effect twice.

Cause: a message was the forwarder's own from the moment its 202 was written to the connection's buffer, whether or not a byte left.

Change: PatientSocket counts the bytes that have left, UnsentAnswers knows where each 202 begins. If the client's end or reset comes, or the process ends, before that byte has left, and no call was made with the message, it is ended on record, and its connection is reset so that the 202 never leaves. A client that has only ended its side is taken for one that has gone, as before an answer.

Why it works: what has begun to leave may have been heard, and what has not cannot.

--- a/forwarder/admin/server.py
+++ b/forwarder/admin/server.py
@@ -121,7 +121,7 @@
 
     def listen(self, sock: socket.socket) -> Listener:
         """Accepts connections on a socket that is bound."""
-        listener = Listener(sock, BACKLOG, lambda waited_us: AdminConnection(self), self.free_connections)
+        listener = Listener(sock, BACKLOG, lambda _sock, _waited_us: AdminConnection(self), self.free_connections)
         self.listeners[listener.address()] = listener
         return listener
 
--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -13,10 +13,13 @@
 from forwarder.clients.listener import fileno
 from forwarder.clients.request_parser import RequestParser
 from forwarder.clients.submission import ClientRequest
+from forwarder.clients.unsent_answers import UnsentAnswers
 from forwarder.runtime.descriptor_watch import ready_now
 from forwarder.runtime.handover_format import ClientRecord
+from forwarder.runtime.patient_socket import PatientSocket
 from forwarder.runtime.reason_counts import ReasonCounts, Subject
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_PIPELINED_REQUESTS = 8  # requests that wait on one connection before no more is read from it
 CLIENT_TIMEOUT_US = 400_000  # a client that has no answer by then closes its connection (PROTOCOL)
 READ_LATE_US = 100_000  # a request that may have lain in the kernel for so long is counted as read late
@@ -53,12 +56,17 @@
 
     Args:
         server: the server that it belongs to.
+        sock: its socket; None where answers that cannot leave are not to be undone.
         handed_over: what the process before described of it by `hand_over`; None for a new one.
         accept_delay_us: how long it may have waited to be accepted, and its first request with it.
     """
 
     def __init__(
-        self, server: ConnectionOwner, handed_over: ClientRecord | None = None, accept_delay_us: int = 0
+        self,
+        server: ConnectionOwner,
+        sock: PatientSocket | None = None,
+        handed_over: ClientRecord | None = None,
+        accept_delay_us: int = 0,
     ) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
@@ -76,6 +84,7 @@
         """Of the message that was submitted on it last."""
         self.writing_paused = False
         """Whether the client does not read its answers."""
+        self._unsent = UnsentAnswers(sock)
         self._handed_over = handed_over
         self._peer_ended = False
         # No client waits for longer than its time-out, so what is open now is no older than that.
@@ -97,14 +106,18 @@
         self.server.connection_ended(self)
         self.waiting.clear()
         self._withdraw()
+        self._unsent.undo()
         self.parser.release()
 
     def eof_received(self) -> bool:
         """Withdraws the current request: a client that ends its side does not wait; called by the event loop.
 
-        What it may still read is a rejection.
+        What it may still read is a rejection. An answer of which nothing has left is undone, and does not leave.
         """
         self._peer_ended = True
+        if self._unsent.undo():
+            self.abort("its answer could not leave before its client did")
+            return False
         if self.current_request is None:
             return False
         self._withdraw()
@@ -162,12 +175,15 @@
 
     # Answering
 
-    def answer(self, status: HTTPStatus, text: str = "", **headers: str) -> None:
+    def answer(
+        self, status: HTTPStatus, text: str = "", on_unsent: Callable[[], None] | None = None, **headers: str
+    ) -> None:
         """Answers the current request, and goes on with the next in the event loop's next turn.
 
         Args:
             status: the status.
             text: the body, one line.
+            on_unsent: is called if the client goes before the first byte of the answer has left.
             headers: further headers; an underscore in a name stands for a hyphen.
         """
         request = self.current_request
@@ -176,7 +192,9 @@
         if request is None or self.transport is None or self.transport.is_closing():
             return
         keep_alive = request.keep_alive and not self.server.draining and not self._peer_ended
-        self.transport.write(_render_answer(request, status, text, headers, keep_alive))
+        answer = _render_answer(request, status, text, headers, keep_alive)
+        self.transport.write(answer)
+        self._unsent.note(len(answer), on_unsent)
         self.last_used_us = self.server.clock()
         self.server.connection_used(self)
         loop = asyncio.get_running_loop()
@@ -213,6 +231,8 @@
             )
         self._note_closing(reason)
         assert self.transport is not None
+        if self.server.closed and self._unsent.undo():
+            self.transport.abort()
         self.transport.close()
 
     def abort(self, reason: str = "on demand") -> None:
@@ -289,7 +309,8 @@
 
     def _continue(self) -> None:
         if self.transport is not None and self.current_request is None:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.transport.write(CONTINUE)
+            self._unsent.note(len(CONTINUE), None)
 
     def _withdraw(self) -> None:
         on_withdrawn = self.on_withdrawn
--- a/forwarder/clients/listener.py
+++ b/forwarder/clients/listener.py
@@ -128,7 +128,8 @@
     Args:
         sock: a bound socket.
         backlog: how many connections may wait to be accepted.
-        make_protocol: makes what serves a connection, from how long it may have waited until then, in microseconds.
+        make_protocol: makes what serves a connection, from its socket and how long it may have waited until then, in
+            microseconds.
         free_slots: returns how many more connections there may be now.
         on_failure: is told each error of accept that is not about the connection that was waiting.
         reserve: helps where the process has no descriptor left; None for no help.
@@ -142,7 +143,7 @@
         self,
         sock: socket.socket,
         backlog: int,
-        make_protocol: Callable[[int], asyncio.BaseProtocol],
+        make_protocol: Callable[[PatientSocket, int], asyncio.BaseProtocol],
         free_slots: Callable[[], int] = unlimited_slots,
         on_failure: Callable[[OSError], None] | None = None,
         reserve: DescriptorReserve | None = None,
@@ -183,7 +184,7 @@
         """
         loop = asyncio.get_running_loop()
         try:
-            await loop.connect_accepted_socket(lambda: self.make_protocol(_passed_us(queued_since_s)), sock)
+            await loop.connect_accepted_socket(lambda: self.make_protocol(sock, _passed_us(queued_since_s)), sock)
         except OSError as error:
             log.info("connection lost before it was served: reason=%s", error)
             sock.close()
--- a/forwarder/clients/server.py
+++ b/forwarder/clients/server.py
@@ -82,7 +82,7 @@
         self.listener = Listener(
             sock,
             BACKLOG,
-            lambda accept_delay_us: ClientConnection(self, accept_delay_us=accept_delay_us),
+            lambda accepted, accept_delay_us: ClientConnection(self, accepted, accept_delay_us=accept_delay_us),
             self.free_slots,
             self._note_accept_failure,
             self.descriptor_reserve,
@@ -103,7 +103,7 @@
         patient = PatientSocket.of(sock)
         patient.setblocking(False)
         delay_us = CLIENT_TIMEOUT_US if handed_over is None else 0
-        make = partial(ClientConnection, self, handed_over, delay_us)
+        make = partial(ClientConnection, self, patient, handed_over, delay_us)
         await asyncio.get_running_loop().connect_accepted_socket(make, patient)
 
     # Requests
@@ -129,8 +129,10 @@
         try:
             submission = parse_submission(request, self.settings)
         except BadRequestError as error:
-            headers = {"Allow": "POST"} if error.status is HTTPStatus.METHOD_NOT_ALLOWED else {}
-            connection.answer(error.status, error.text, **headers)
+            if error.status is HTTPStatus.METHOD_NOT_ALLOWED:
+                connection.answer(error.status, error.text, Allow="POST")
+            else:
+                connection.answer(error.status, error.text)
             return
         self.on_submission(submission, connection)
 
--- a/forwarder/runtime/effects.py
+++ b/forwarder/runtime/effects.py
@@ -245,7 +245,19 @@
 
     def _accept(self, message_id: str, client: ClientConnection) -> None:
         if self.invariants.may_accept(message_id, is_recorded=True) is None:
-            client.answer(HTTPStatus.ACCEPTED)
+            client.answer(HTTPStatus.ACCEPTED, on_unsent=partial(self._withdraw_unheard, message_id))
+
+    def _withdraw_unheard(self, message_id: str) -> None:
+        """Withdraws a message whose client has gone before its 202 could leave, unless a call was made with it.
+
+        The client may have submitted it elsewhere: what becomes of it here counts for nothing (PROTOCOL).
+        """
+        message = self.store.messages.get(message_id)
+        if message is None or message.in_flight or message.attempts > message.local_failure_count:
+            return
+        self.reasons.note(Subject.REFUSAL, "its client left before the 202 could", message_id)
+        self.store.end_message(message_id)
+        self.post(MessageWithdrawn(message_id))
 
     def _release(self, step: Step) -> None:
         match step:
--- a/forwarder/runtime/patient_socket.py
+++ b/forwarder/runtime/patient_socket.py
@@ -30,6 +30,9 @@
     is_short_of_buffers = False
     """Whether the last send failed for want of memory or buffers, so that it says nothing about the peer."""
 
+    sent_bytes = 0
+    """Bytes that the kernel has taken since this object was made."""
+
     @classmethod
     def of(cls, sock: socket.socket) -> PatientSocket:
         """Takes the place of a plain socket, which has no descriptor any more then."""
@@ -72,6 +75,7 @@
             self.is_short_of_buffers = error.errno in TRANSIENT_ERRORS
             raise self._to_be_retried(error) from None
         self.is_short_of_buffers = False
+        self.sent_bytes += sent
         return sent
 
     def _to_be_retried(self, error: OSError) -> OSError:
--- a/forwarder/streaming/extension.py
+++ b/forwarder/streaming/extension.py
@@ -50,7 +50,7 @@
 
     def __init__(self, sock: socket.socket, extension: StreamingExtension) -> None:
         self._extension = extension
-        super().__init__(sock, BACKLOG, lambda waited_us: asyncio.Protocol(), lambda: SPARE_SOCKETS // 2)
+        super().__init__(sock, BACKLOG, lambda _sock, _waited_us: asyncio.Protocol(), lambda: SPARE_SOCKETS // 2)
 
     async def attach(self, conn: PatientSocket, queued_since_s: float) -> None:
         """Serves a connection that was accepted, to its end."""
--- a/tests/runtime/test_unsent_answers.py
+++ b/tests/runtime/test_unsent_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
 from pathlib import Path
 
@@ -13,7 +14,7 @@
 from tests.nodes import Node, message
 from tests.platforms import Platform
 from tests.scenes import end_with_scene, play, received_ids, start_endpoint
-from tests.sockets import OK, Answer, Request
+from tests.sockets import OK, Answer, Request, always
 
 CLIENT_TIMEOUT_S = 0.4
 """A client waits so long for its answer (PROTOCOL)."""
@@ -68,6 +69,31 @@
     play(scene, tmp_path)
 
 
+def test_a_message_whose_202_had_not_left_as_the_process_ended_is_not_sent_by_the_next(tmp_path: Path) -> None:
+    """Guards against the same second effect over a restart: the client saw its connection end unanswered."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await start_endpoint(platform, always(Answer(429, {"X-RateLimit-Wait-Ms": "10000"}), OK))
+        node = Node(folder, platform)
+        end_with_scene(node)
+        await node.fail()
+        await node.start()
+        assert (await node.submit("held", "status"))[0] == 202
+        await peer.wait_for_requests(1)
+        await node.fail(Failure("client-send", "ENOMEM"))
+        client = await node.client()
+        client.writer.write(message("unheard", "status"))
+        await asyncio.sleep(CLIENT_TIMEOUT_S / 2)
+        await node.end(signal.SIGTERM)
+        await node.fail()
+        await node.start()
+        await peer.wait_for_requests(2)
+        await asyncio.sleep(1.0)
+        assert received_ids(peer) == ["held", "held"]
+
+    play(scene, tmp_path)
+
+
 def test_a_202_that_waits_for_its_socket_leaves_once_it_can(tmp_path: Path) -> None:
     """The client stays: it hears that its message was accepted, and the message goes."""
 
