Take the lock as soon as it can be had, and write nothing to the folder before

What callors saw: a start whose folder could not be opened for over 2 s (EIO) served for its whole life without lock and without the socket for upgrades; the next upgrade ended with 1, cannot serve: address already in use.

Cause: the lock was given up after 2 s for good; the new process of an upgrade took the free lock, waited 5 s for the address and ended. Class: a failure that passes, answered by a step that lasts longer than the failure.

Change: JournalWriter takes the lock before it owns the files, at the start and with each retry (0.5 s apart at most, before 1 s: service is to be back within 1 s). The socket for upgrades is opened then; where that fails for a moment, again after 0.5 s. A new process that gets the lock while another has the address gives it back and asks again, for 20 s.

Why it works: there is one condition for writing, asked again until it holds.

--- a/forwarder/__main__.py
+++ b/forwarder/__main__.py
@@ -24,6 +24,8 @@
 START_PATIENCE_S = 20.0
 """What fails for a moment is tried again for so long: a start has to be ready within 30 s."""
 START_RETRY_S = 0.2
+IN_USE_TIMEOUT_S = 0.1
+"""An address that another process has is waited for so long at once: meanwhile that process cannot take the lock."""
 SIGNALS = frozenset({signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
 """The signals that are handled while the forwarder runs, and blocked once it ends."""
 EXIT_CANNOT_SERVE = 1
@@ -94,7 +96,7 @@
     async def _make_engine(handover: HandoverState | None) -> Engine:
         if handover is None:
             # The address before the journal: where another forwarder serves, nothing may be sent.
-            client_socket = await bind(config.listen)
+            client_socket = await bind(config.listen, in_use_timeout_s=IN_USE_TIMEOUT_S)
             return await retry_unreadable_journal(
                 lambda: Engine(config, ownership, admin, client_socket, extensions=extensions)
             )
--- a/forwarder/admin/commands.py
+++ b/forwarder/admin/commands.py
@@ -87,6 +87,7 @@
             f"{store.recovery_bytes} bytes",
             f"{store.set_aside_bytes} bytes of damaged files set aside",
             "cannot be written" if store.write_failed else "",
+            "" if self.runtime.ownership.has_lock else "the lock is missing",
         )
         return "; ".join(fact for fact in facts if fact)
 
--- a/forwarder/clients/listener.py
+++ b/forwarder/clients/listener.py
@@ -59,16 +59,23 @@
         """Sets an option of the socket."""
 
 
-async def bind(address: Address, timeout_s: float = BIND_TIMEOUT_S) -> socket.socket:
+async def bind(
+    address: Address, timeout_s: float = BIND_TIMEOUT_S, in_use_timeout_s: float | None = None
+) -> socket.socket:
     """Returns a socket that is bound to an address, and does not listen yet.
 
     Failures are retried for some time: the process before may still have the address, or no socket may be had.
 
+    Args:
+        address: where to listen.
+        timeout_s: how long failures are retried.
+        in_use_timeout_s: how long an address is waited for that another process has; None for as long.
+
     Raises:
         OSError: the address cannot be had in time.
     """
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    timeout_at_s = time.monotonic() + timeout_s
+    began_s = time.monotonic()
     while True:
         sock = None
         try:
@@ -76,10 +83,12 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind((address.host.strip("[]"), address.port))
             return sock
-        except OSError:
+        except OSError as error:
             if sock is not None:
                 sock.close()
-            if time.monotonic() > timeout_at_s:
+            is_in_use = error.errno == errno.EADDRINUSE
+            patience_s = in_use_timeout_s if is_in_use and in_use_timeout_s is not None else timeout_s
+            if time.monotonic() - began_s > patience_s:
                 raise
         await asyncio.sleep(BIND_RETRY_INTERVAL_S)
 
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -94,6 +94,8 @@
         self.endpoint_table = EndpointTable(
             settings.kinds, description.endpoint_numbers or {}, description.destinations
         )
+        self._has_begun_to_write = False
+        self._hands_over = False
         self.extensions: list[Extension] = []
         self._build_sides(settings, sum(factory.descriptors for factory in extensions))
         self._build_discovery()
@@ -111,7 +113,7 @@
     def _open_store(self, settings: Settings) -> MessageStore:
         classes = {message_class.name: message_class for message_class in settings.classes}
         salt = None if self.identity is None else self.identity.salt
-        return MessageStore(self.config.state_folder, self.config.disk_bytes, classes, salt)
+        return MessageStore(self.config.state_folder, self.config.disk_bytes, classes, salt, self.ownership.acquire)
 
     def _build_sides(self, settings: Settings, extension_descriptors: int) -> None:
         """Builds the clients' and the endpoints' side, with a share of the descriptors for each.
@@ -231,11 +233,11 @@
 
     async def run(self) -> None:
         """Serves until a shutdown is over. From here on the journal is written."""
-        self.clock.store_anchor()
+        self.identity = identity.count_start(self.identity, self.config.name, self.store.salt)
+        if self.ownership.has_lock:
+            self.clock.store_anchor()
         self.store.take_ownership()
-        self.identity = identity.record_start(
-            self.identity, self.config.state_folder, self.config.name, self.store.salt, self.store.durable
-        )
+        self.begin_to_write()
         log.info("start %d of %s: %s", self.identity.start_count, self.identity.folder_id, self.start_kind.value)
         self._log_descriptors()
         if self.handover is not None:
@@ -250,7 +252,7 @@
         for extension in self.extensions:
             await extension.open()
         admin_listening = self.supervisor.keep("control", self._listen_for_operators)
-        self.ownership.listen(self.handover_sender.hand_over)
+        self.begin_to_hand_over()
         log.info("ready")
         self.startup_progress.ready(self.clock())
         checking = self.checks.start()
@@ -259,6 +261,20 @@
         admin_listening.cancel()
         await self._close()
 
+    def begin_to_write(self) -> None:
+        """Writes what each start writes, as soon as the folder's lock is had."""
+        if self.ownership.has_lock and not self._has_begun_to_write:
+            self._has_begun_to_write = True
+            self.clock.store_anchor()
+            assert self.identity is not None
+            identity.record_start(self.identity, self.config.state_folder, self.store.durable)
+
+    def begin_to_hand_over(self) -> None:
+        """Lets another process take over, as soon as there is a lock to be handed to it."""
+        if self.ownership.has_lock and not self._hands_over:
+            self._hands_over = True
+            self.ownership.listen(self.handover_sender.hand_over)
+
     def _log_descriptors(self) -> None:
         soft_limit, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
         log.info(
--- a/forwarder/runtime/ownership.py
+++ b/forwarder/runtime/ownership.py
@@ -23,9 +23,11 @@
 import struct
 import time
 from collections.abc import Awaitable, Callable, Sequence
+from contextlib import suppress
 from pathlib import Path
 from typing import TypeVar
 
+from forwarder.runtime.failure_span import FailureSpan
 from forwarder.runtime.handover_format import HandoverDescription, decode_description, encode_description
 from forwarder.storage.file_io import close_descriptor
 
@@ -41,7 +43,12 @@
 """Who connects asks at once."""
 RETRY_S = 0.1
 LOCK_PATIENCE_S = 2.0
-"""A lock that cannot be opened is tried again for so long."""
+"""A start waits so long for a lock that cannot be opened. Then it serves, and writes nothing until the lock is had."""
+ADDRESS_PATIENCE_S = 20.0
+"""So long a start waits for an address that another process has, which may be about to take the lock and hand over."""
+LISTEN_RETRY_S = 0.5
+REFUSALS = frozenset({errno.ENOSYS, errno.EPERM, errno.EACCES, errno.EOPNOTSUPP, errno.EAFNOSUPPORT})
+"""Errors of a platform that has no Unix sockets for this process."""
 BACKLOG = 4
 NOT_OPEN = -1
 Made = TypeVar("Made")
@@ -91,6 +98,9 @@
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.listener: socket.socket | None = None
+        self.has_lock = False
+        """Whether no other process can own the folder: the lock is held, or the platform refuses locks."""
+        self.locking = FailureSpan(log, "take the lock")
         self._folder_descriptor = NOT_OPEN
         self._lock = NOT_OPEN
         self._logged_problem = ""
@@ -111,32 +121,46 @@
         Raises:
             OSError: what serves alone cannot be made.
         """
+        give_up_s = time.monotonic() + ADDRESS_PATIENCE_S
         while True:
             await self._open_patiently()
-            if self._try_lock():
+            if self._lock == NOT_OPEN or self._try_lock():
                 try:
                     return await make(None)
                 except OSError as error:
-                    if self._lock != NOT_OPEN or error.errno != errno.EADDRINUSE:
+                    if error.errno != errno.EADDRINUSE or time.monotonic() > give_up_s:
                         raise
-                    log.warning("without its lock the process before cannot be asked, and it serves: %s", error)
-                    continue
-            handover = self._ask()
-            if handover is not None:
-                made = await self._take_over(handover, make)
+                    log.warning("another process serves, and has no lock that it could hand over yet: %s", error)
+                    self._unlock()
+            else:
+                made = await self._ask_and_take_over(make)
                 if made is not None:
                     return made
-                handover.close()
-                log.warning("the process before has not handed over; trying again")
             await asyncio.sleep(RETRY_S)
 
+    def acquire(self) -> None:
+        """Takes the lock, if it is not held yet: nothing may be written to the folder before.
+
+        Raises:
+            OSError: it cannot be opened just now, or another process has it.
+        """
+        if self.has_lock:
+            return
+        error = self._open()
+        if error is None and not self._try_lock():
+            error = BlockingIOError(errno.EAGAIN, "another process has the lock")
+        if error is not None:
+            self.locking.failed(error)
+            raise error
+        self.locking.worked()
+
     async def _open_patiently(self) -> None:
         """Opens folder and lock, again for a while: without the lock the process before cannot be told from none."""
         give_up_s = time.monotonic() + LOCK_PATIENCE_S
         while (error := self._open()) is not None:
+            self.locking.failed(error)
             if time.monotonic() > give_up_s:
                 # Whoever else serves here has the listening address, so that this process will not come to serve.
-                log.error("the lock cannot be had, going on without it: %s", error)
                 return
             await asyncio.sleep(RETRY_S)
 
@@ -154,16 +178,33 @@
 
     def _try_lock(self) -> bool:
         """Takes the lock if nobody has it. Where locks are refused, nobody can have it."""
-        if self._lock == NOT_OPEN:
-            return True
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             return False
         except OSError as error:
             log.warning("the lock is refused here, going on without it: %s", error)
+        self.has_lock = True
         return True
 
+    def _unlock(self) -> None:
+        """Leaves the lock to the process that serves."""
+        self.has_lock = False
+        if self._lock != NOT_OPEN:
+            with suppress(OSError):
+                fcntl.flock(self._lock, fcntl.LOCK_UN)
+
+    async def _ask_and_take_over(self, make: MakeServer[Made]) -> Made | None:
+        """Returns what serves from now on, if the owner has handed over."""
+        handover = self._ask()
+        if handover is None:
+            return None
+        made = await self._take_over(handover, make)
+        if made is None:
+            handover.close()
+            log.warning("the process before has not handed over; trying again")
+        return made
+
     def _ask(self) -> HandoverState | None:
         """Asks the owner for all that it has. Returns None where it does not answer as it should."""
         descriptors: list[int] = []
@@ -210,6 +251,7 @@
         handover.link.close()
         close_descriptor(self._lock)
         self._lock = lock
+        self.has_lock = True
         return made
 
     # Being the owner
@@ -226,14 +268,20 @@
             self.listener.bind(self.path)
             self.listener.listen(BACKLOG)
         except OSError as error:
-            log.warning("no process can take over from this one: %s", error)
-            if self.listener is not None:
-                self.listener.close()
-                self.listener = None
+            self._listening_failed(error, hand_over)
             return
         self.listener.setblocking(False)
         self._watch_listener(hand_over)
 
+    def _listening_failed(self, error: OSError, hand_over: Callable[[socket.socket], None]) -> None:
+        """Listens later, unless the platform has no such sockets."""
+        log.warning("no process can take over from this one: %s", error)
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+        if error.errno not in REFUSALS:
+            asyncio.get_running_loop().call_later(LISTEN_RETRY_S, self.listen, hand_over)
+
     def _watch_listener(self, hand_over: Callable[[socket.socket], None]) -> None:
         if self.listener is not None:
             asyncio.get_running_loop().add_reader(self.listener, self._accept, hand_over)
--- a/forwarder/runtime/periodic_checks.py
+++ b/forwarder/runtime/periodic_checks.py
@@ -53,7 +53,10 @@
             log_state(runtime)
         runtime.store.retry()
         runtime.store.write_snapshot_step()
-        runtime.clock.store_anchor()
+        if runtime.ownership.has_lock:
+            runtime.clock.store_anchor()
+            runtime.begin_to_write()
+            runtime.begin_to_hand_over()
         if runtime.store.pending_notices:
             runtime.notices.wake()
         if now_s - self._reasons_logged_s > REASONS_LOG_INTERVAL_S:
--- a/forwarder/runtime/state_log.py
+++ b/forwarder/runtime/state_log.py
@@ -42,7 +42,8 @@
     )
     listener = runtime.server.listener
     log.info(
-        "state: accept %s; connection for notices: %s; notices: %s",
+        "state: lock %s; accept %s; connection for notices: %s; notices: %s",
+        "held" if runtime.ownership.has_lock else "missing",
         "not begun" if listener is None else listener.accepting.describe(),
         runtime.notices.connecting.describe(),
         runtime.notices.posting.describe(),
--- a/forwarder/storage/identity.py
+++ b/forwarder/storage/identity.py
@@ -73,29 +73,31 @@
     return identity, StartKind.AGAIN
 
 
-def record_start(
-    identity: Identity | None, folder: Path, forwarder_name: str, salt: int, durable: bool = False
-) -> Identity:
-    """Counts this start, and returns the identity from here on.
-
-    A folder that cannot be written costs the count, and not the start.
+def count_start(identity: Identity | None, forwarder_name: str, salt: int) -> Identity:
+    """Returns the identity from this start on; writes nothing.
 
     Args:
         identity: what `claim_folder` found.
-        folder: the state folder.
         forwarder_name: the name of a new identity.
         salt: what the journal's checksums begin from.
-        durable: whether the count is to outlast a power cut.
     """
     if identity is None:
-        counted = Identity(forwarder_name, secrets.token_hex(FOLDER_ID_BYTES), 1, salt)
-    else:
-        counted = replace(identity, start_count=identity.start_count + 1, salt=salt)
+        return Identity(forwarder_name, secrets.token_hex(FOLDER_ID_BYTES), 1, salt)
+    return replace(identity, start_count=identity.start_count + 1, salt=salt)
+
+
+def record_start(counted: Identity, folder: Path, durable: bool = False) -> None:
+    """Writes the identity of this start. A folder that cannot be written costs the count, and not the start.
+
+    Args:
+        counted: what `count_start` returned.
+        folder: the state folder.
+        durable: whether the count is to outlast a power cut.
+    """
     try:
         write_identity(folder, counted, durable)
     except OSError as error:
         log.error("identity: cannot be written: %s", error)
-    return counted
 
 
 def is_identity_corrupt(folder: Path, identity: Identity | None) -> bool:
--- a/forwarder/storage/journal_writer.py
+++ b/forwarder/storage/journal_writer.py
@@ -19,7 +19,7 @@
 from forwarder.storage.state import StoredState
 
 FIRST_RETRY_PAUSE_S = 0.05
-MAX_RETRY_PAUSE_S = 1.0
+MAX_RETRY_PAUSE_S = 0.5
 MIN_COMPACTION_BYTES = 256 * 1024
 """Smaller files are left to grow."""
 GROWTH_BEFORE_COMPACTION = 4
@@ -50,7 +50,14 @@
 class JournalWriter:
     """The writing side of one folder's journal."""
 
-    def __init__(self, files: JournalFiles, recovered: RecoveredJournal, state: StoredState, salt: int) -> None:
+    def __init__(
+        self,
+        files: JournalFiles,
+        recovered: RecoveredJournal,
+        state: StoredState,
+        salt: int,
+        acquire: Callable[[], None],
+    ) -> None:
         """Writes nothing yet.
 
         Args:
@@ -58,8 +65,10 @@
             recovered: what they held.
             state: the state in memory, which a snapshot is made of.
             salt: what the checksums begin from.
+            acquire: makes sure that no other process writes the folder; raises OSError where it cannot just now.
         """
         self.files = files
+        self.acquire = acquire
         self.recovered = recovered
         self.state = state
         self.salt = salt
@@ -83,6 +92,7 @@
         Raises:
             OSError: the folder cannot be written just now.
         """
+        self.acquire()
         self.files.take_ownership(self.recovered, self.salt)
         self.is_owned = True
         if self.recovered.is_damaged or self.recovered.version < FORMAT_VERSION:
--- a/forwarder/storage/store.py
+++ b/forwarder/storage/store.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
 
 from forwarder.decisions.settings import MessageClass
@@ -49,7 +49,12 @@
     """The state in memory, and its journal. Changes are gathered until `flush` writes them."""
 
     def __init__(
-        self, folder: Path, max_bytes: int, classes: Mapping[str, MessageClass] | None = None, salt: int | None = None
+        self,
+        folder: Path,
+        max_bytes: int,
+        classes: Mapping[str, MessageClass] | None = None,
+        salt: int | None = None,
+        acquire: Callable[[], None] = lambda: None,
     ) -> None:
         """Reads the journal, and writes nothing.
 
@@ -58,6 +63,7 @@
             max_bytes: what its files together may take.
             classes: message classes by name, for journals that have only the name of one.
             salt: the folder's salt as its identity tells it.
+            acquire: makes sure that no other process writes the folder; raises OSError where it cannot just now.
 
         Raises:
             OSError: the journal cannot be read.
@@ -69,7 +75,7 @@
         self.salt: int = secrets.randbits(32) if known_salt is None else known_salt
         self.replay = Replay(self.recovered, classes or {})
         self.state = self.replay.state
-        self.writer = JournalWriter(self.files, self.recovered, self.state, self.salt)
+        self.writer = JournalWriter(self.files, self.recovered, self.state, self.salt, acquire)
 
     def take_ownership(self) -> MessageStore:
         """Begins to write the journal, which this process alone does from here on.
--- a/tests/runtime/test_periodic_checks.py
+++ b/tests/runtime/test_periodic_checks.py
@@ -35,6 +35,7 @@
         store=store,
         clock=clock,
         notices=SimpleNamespace(wake=lambda: None),
+        ownership=SimpleNamespace(has_lock=False),
         startup_progress=SimpleNamespace(phase=StartupPhase.SERVING),
         run_state=SimpleNamespace(is_frozen=False),
         post=lambda event: None,
--- a/tests/storage/test_identity.py
+++ b/tests/storage/test_identity.py
@@ -15,11 +15,15 @@
     found, start = identity.claim_folder(tmp_path, "n1")
     assert found is None
     assert start is identity.StartKind.FIRST
-    first = identity.record_start(found, tmp_path, "n1", 99)
+    first = identity.count_start(found, "n1", 99)
+    identity.record_start(first, tmp_path)
     again, start = identity.claim_folder(tmp_path, "n1")
     assert again == first
     assert start is identity.StartKind.AGAIN
-    assert identity.record_start(again, tmp_path, "n1", 99).start_count == 2
+    second = identity.count_start(again, "n1", 99)
+    identity.record_start(second, tmp_path)
+    assert second.start_count == 2
+    assert identity.read_identity(tmp_path) == second
     with pytest.raises(ForeignStateError, match="folder of n1, not of n2"):
         identity.claim_folder(tmp_path, "n2")
     data = bytearray((tmp_path / "identity").read_bytes())
--- a/tests/storage/test_state_check.py
+++ b/tests/storage/test_state_check.py
@@ -41,7 +41,7 @@
     tmp_path: Path, capsys: pytest.CaptureFixture[str], spoil: Any, status: int, verdict: str
 ) -> None:
     fill_folder(tmp_path)
-    identity.record_start(None, tmp_path, "n1", 1234)
+    identity.record_start(identity.count_start(None, "n1", 1234), tmp_path)
     spoil(tmp_path)
     before = {p.name: p.read_bytes() for p in tmp_path.iterdir() if p.is_file()}
     assert state(["check", str(tmp_path)]) == status
