Widen the soak: links to clients, slow and full, lasting errors, failing starts

The soak draws what it lacked: silence, resets and delay between clients and forwarders, less processor time, a full disk, stops up to 8 s, calls all of which fail (accept, socket, poll, clients', endpoints'), and open or socket failing across a kill and a start. Not drawn at share 1.0: send and recv on all connections that the program makes, since without them no notice can leave, which is owed at a fixed time; endpoint-send and endpoint-recv spare discovery.

The lab's own: a connection that the schedule resets, or that ends on a silent link, is an event of its own (its client goes elsewhere) and no unanswered request; an answer that a link delays is heard before the end behind it, which the link does not delay.

The judge: an effect under an id whose client had given up counts for nothing (PROTOCOL, Clients to forwarders: whatever the forwarder has sent or still sends under the old id), whether it comes before or after the other; it exempted one order only.

--- a/lab/client_connection.py
+++ b/lab/client_connection.py
@@ -8,11 +8,12 @@
 
 import httptools
 
-from lab.network import LinkConnection, Network
+from lab.network import Direction, LinkConnection, Network
 
 PARTY = "front"
 RESET_WAIT_S = 0.05
 """Within this the reset has come that follows the end of a connection whose forwarder never read the request."""
+INBOUND_POLL_S = 0.01
 
 
 class ClientConnection(LinkConnection):
@@ -28,6 +29,8 @@
         self.on_request_sent: Callable[[], None] | None = None
         self.request_count = 0
         self.was_reset = False
+        self.ended_by_link = False
+        """It has ended, and its forwarder did not end it or cannot be heard."""
 
     def request(self, data: bytes, on_sent: Callable[[], None] | None = None) -> asyncio.Future[int]:
         """Send a request.
@@ -94,13 +97,27 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Note how the connection ended."""
         self.was_reset = self.was_reset or error is not None
+        self.ended_by_link = self.was_cut or bool(self.held_inbound) or self._is_link_silent()
         super().connection_lost(error)
 
     def on_closed(self) -> None:
-        """Fail the request that has no answer."""
-        if (waiter := self._waiter()) is not None:
+        """Fail the request that has no answer, once all has come that the forwarder had sent before."""
+        if (waiter := self._waiter()) is None:
+            return
+        if self._is_late(Direction.TO_PARTY):
+            asyncio.get_running_loop().call_later(INBOUND_POLL_S, self.on_closed)
+        else:
             waiter.set_exception(ConnectionResetError("the connection ended"))
 
+    def _arrive(self, deliver: Callable[[bytes], None], data: bytes) -> None:
+        """Deliver delayed bytes; those of a forwarder that has ended the connection behind them too."""
+        if self.transport is not None or deliver == self.receive:
+            deliver(data)
+
+    def _is_link_silent(self) -> bool:
+        fault = self.network.fault_on(self.link)
+        return fault.silent_in or fault.silent_out
+
     def _waiter(self) -> asyncio.Future[int] | None:
         """Return the request's future while somebody waits for it."""
         return None if self.answer is None or self.answer.done() else self.answer
@@ -108,6 +125,9 @@
     def _look_for_reset(self) -> None:
         if self.transport is None:
             return
+        if self.has_inbound_under_way():
+            asyncio.get_running_loop().call_later(RESET_WAIT_S, self._look_for_reset)
+            return
         sock = self.transport.get_extra_info("socket")
         self.was_reset = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
         self.transport.abort()
--- a/lab/clients.py
+++ b/lab/clients.py
@@ -187,8 +187,7 @@
             except OSError:
                 if sent.is_set and not fresh and _close_crossed_request(connection):
                     continue
-                kind = EventKind.SUBMIT_UNANSWERED if sent.is_set else EventKind.FORWARDER_UNREACHABLE
-                self._note(kind, submission, forwarder)
+                self._note(_kind_of_failure(sent.is_set, connection), submission, forwarder)
                 return Answer()
             self._note(EventKind.SUBMIT_ANSWERED, submission, forwarder, status, connection.retry_after_s)
             self.front.release(forwarder, connection)
@@ -296,6 +295,14 @@
             self.accepted[submission.forwarder.name].pop(submission.id, None)
 
 
+def _kind_of_failure(was_sent: bool, connection: ClientConnection | None) -> EventKind:
+    """What a client saw whose connection failed before its answer."""
+    if not was_sent:
+        return EventKind.FORWARDER_UNREACHABLE
+    is_cut = connection is not None and connection.ended_by_link
+    return EventKind.SUBMIT_CUT_OFF if is_cut else EventKind.SUBMIT_UNANSWERED
+
+
 def _close_crossed_request(connection: ClientConnection | None) -> bool:
     """Whether the forwarder closed an idle connection before it read the request."""
     return connection is not None and connection.request_count > 1 and connection.was_reset
--- a/lab/event_log.py
+++ b/lab/event_log.py
@@ -25,6 +25,8 @@
     """Its connection ended without an answer."""
     SUBMIT_TIMED_OUT = "given_up"
     """Its client has waited long enough."""
+    SUBMIT_CUT_OFF = "cut_off"
+    """The schedule ended its connection, or cut it: its client goes elsewhere."""
     FORWARDER_UNREACHABLE = "unreached"
     """No connection to the forwarder came up."""
 
--- a/lab/network.py
+++ b/lab/network.py
@@ -89,7 +89,7 @@
             self.listeners[link].apply_link_state()
         for connection in list(self.connections.get(link, ())):
             if fault.refuse:
-                connection.abort()
+                connection.cut()
             connection.release_held()
 
     def heal(self, link: Link) -> None:
@@ -100,7 +100,7 @@
         """Reset every open connection of a link."""
         for connection in list(self.connections.get(link, ())):
             self.counts["reset"] += 1
-            connection.abort()
+            connection.cut()
 
     def draw_delay_s(self, fault: LinkFault) -> float:
         """Draw how long the next piece takes, in seconds."""
@@ -124,6 +124,8 @@
         self.close_when_sent = False
         self.eof_behind_held = False
         """The forwarder has ended its side, behind bytes that the link holds back."""
+        self.was_cut = False
+        """The schedule has ended it, not its forwarder."""
         self.muted = False
         """Nothing leaves any more, also of what the link has held back or delayed."""
 
@@ -188,6 +190,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def cut(self) -> None:
+        """Reset the connection, as the network does."""
+        self.was_cut = True
+        self.abort()
+
     def is_usable(self) -> bool:
         """Whether a request may still be sent on the connection."""
         return self.transport is not None and not self.transport.is_closing()
@@ -234,6 +241,13 @@
         self.last_arrival_s[direction] = max(earliest_s, loop.time() + self.network.draw_delay_s(fault))
         loop.call_at(self.last_arrival_s[direction], self._arrive, deliver, data)
 
+    def has_inbound_under_way(self) -> bool:
+        """Whether bytes of the forwarder have left it that the link still holds back or delays."""
+        return bool(self.held_inbound) or self._is_late(Direction.TO_PARTY)
+
+    def _is_late(self, direction: Direction) -> bool:
+        return self.last_arrival_s[direction] >= asyncio.get_running_loop().time()
+
     def _arrive(self, deliver: Callable[[bytes], None], data: bytes) -> None:
         """Deliver delayed bytes. Those of a connection that has ended meanwhile are lost with it."""
         if self.transport is not None:
--- a/lab/observed_state.py
+++ b/lab/observed_state.py
@@ -146,7 +146,7 @@
             self.messages[event.id].was_unanswered = True
 
     def on_submit_timed_out(self, event: Event) -> None:
-        """Note that a client has given up."""
+        """Note that a client has given up, or was cut off: it does not wait for this answer any more."""
         if event.id in self.messages:
             self.messages[event.id].was_given_up = True
 
@@ -279,6 +279,7 @@
     EventKind.SUBMIT_ANSWERED: ObservedState.on_submit_answered,
     EventKind.SUBMIT_UNANSWERED: ObservedState.on_submit_unanswered,
     EventKind.SUBMIT_TIMED_OUT: ObservedState.on_submit_timed_out,
+    EventKind.SUBMIT_CUT_OFF: ObservedState.on_submit_timed_out,
     EventKind.CALL_RECEIVED: ObservedState.on_call_received,
     EventKind.CALL_STARTED: ObservedState.on_call_started,
     EventKind.CALL_ANSWERED: ObservedState.on_call_answered,
--- a/lab/rules.py
+++ b/lab/rules.py
@@ -207,10 +207,11 @@
     """Check that a message which may take effect once only did so under one id.
 
     PROTOCOL, "The rules on sockets", on duplicates. An id that its client has given up counts for nothing (PROTOCOL,
-    "Clients to forwarders"); so does one whose forwarder ended before its answer, since clients hand that in again.
+    "Clients to forwarders"), whether it takes effect before or after the one that was handed in instead; so does one
+    whose forwarder ended before its answer, since clients hand that in again.
     """
     message = state.messages.get(event.id)
-    if message is None or not message.runs_once:
+    if message is None or not message.runs_once or message.was_given_up or message.was_unanswered:
         return None
     other = state.run_submissions.get(message.submitted.number, event.id)
     if other == event.id or state.is_forgotten(other):
--- a/lab/shim.py
+++ b/lab/shim.py
@@ -7,7 +7,8 @@
     {"clock_s": 3600.0, "failures": [{"call": "write", "errno": "ENOSPC", "share": 1.0}]}
 
 `clock_s` is added to the wall clock. Calls on files fail only where the file is in the folder STATE, `recv` and `send`
-only on connections that the program made itself, `client-recv` and `client-send` only on those that it accepted: there
+only on connections that the program made itself, `endpoint-recv` and `endpoint-send` on those of them that do not lead
+to discovery, `client-recv` and `client-send` only on those that it accepted: there
 an error that is no passing shortage would be the client's loss. `epoll_ctl` fails where the loop begins to watch a
 descriptor, or watches it for something else; `poll` where a descriptor is looked at. `short` is no error: reads, writes
 and sends then carry a few bytes at a time. Needs no special rights: calls are replaced in the interpreter.
@@ -46,7 +47,17 @@
 FILE_CALLS = ("write", "pwrite", "open", "ftruncate", "replace", "unlink", "link", "fdatasync", "fsync", "close")
 READ_CALL = "read"
 """Of a small file that is read as a whole: opening it counts as the call."""
-SOCKET_CALLS = ("socket", "accept", "connect", "recv", "send", "client-recv", "client-send")
+SOCKET_CALLS = (
+    "socket",
+    "accept",
+    "connect",
+    "recv",
+    "send",
+    "endpoint-recv",
+    "endpoint-send",
+    "client-recv",
+    "client-send",
+)
 WATCH_CALLS = ("epoll_ctl", "poll")
 CALLS = (*FILE_CALLS, READ_CALL, *SOCKET_CALLS, *WATCH_CALLS, "short")
 MAX_SHORT_BYTES = 24
@@ -222,6 +233,8 @@
     shim: ClassVar[Shim]
     is_client = False
     """The program made the connection itself."""
+    is_endpoint = False
+    """It made it, and not to discovery."""
 
     def __init__(self, family: int = -1, type: int = -1, proto: int = -1, fileno: int | None = None) -> None:
         if fileno is None and family in (-1, socket.AF_INET):
@@ -238,24 +251,33 @@
         if self.family == socket.AF_INET:
             self.shim.raise_if_failing("connect")
             self.is_client = True
+            self.is_endpoint = address != discovery_address()
         super().connect(address)
 
     def recv_into(self, buffer: WriteableBuffer, nbytes: int = 0, flags: int = 0) -> int:
         """Read into a buffer, perhaps a part."""
-        self.shim.raise_if_failing("recv" if self.is_client else "client-recv")
+        self._raise_if_recv_failing()
         return super().recv_into(buffer, self.shim.shorten(nbytes or len(memoryview(buffer))), flags)
 
     def recv(self, bufsize: int, flags: int = 0) -> bytes:
         """Read, perhaps a part."""
         if self.is_client:
-            self.shim.raise_if_failing("recv")
+            self._raise_if_recv_failing()
         return super().recv(self.shim.shorten(bufsize), flags)
 
+    def _raise_if_recv_failing(self) -> None:
+        if self.is_endpoint:
+            self.shim.raise_if_failing("endpoint-recv")
+        self.shim.raise_if_failing("recv" if self.is_client else "client-recv")
+
     def send(self, data: ReadableBuffer, flags: int = 0) -> int:
         """Write, perhaps a part."""
+        if self.is_endpoint:
+            self.shim.raise_if_failing("endpoint-send")
         self.shim.raise_if_failing("send" if self.is_client else "client-send")
-        view = memoryview(data)
-        return super().send(view[: self.shim.shorten(len(view))], flags)
+        with memoryview(data) as view:
+            size = self.shim.shorten(len(view))
+            return super().send(data if size == len(view) else bytes(view[:size]), flags)
 
 
 class FailingEpoll:
@@ -299,6 +321,15 @@
         return self.real.poll(timeout_ms)
 
 
+def discovery_address() -> tuple[str, int] | None:
+    """Return where the configuration has discovery just now; None where it cannot be read."""
+    try:
+        host, _, port = str(json.loads(Path(os.environ["LB_CONFIG"]).read_bytes())["discovery"]).rpartition(":")
+        return host, int(port)
+    except (OSError, ValueError, KeyError):
+        return None
+
+
 def module_name(program: Path) -> str:
     """Return the package that `python -m` runs in a checkout; until e0ee873 it had another name."""
     return "forwarder" if (program / "forwarder").is_dir() else "lemonshunt"
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -23,17 +23,29 @@
 count against a forwarder that sent it in time."""
 FILE_ERRORS = ("ENOSPC", "EIO")
 SOCKET_ERRORS = {
-    "accept": ("ECONNABORTED", "ENFILE", "ENOBUFS"),
+    "accept": ("ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"),
     "socket": ("ENFILE", "ENOBUFS"),
     "connect": ("EADDRNOTAVAIL", "ENETUNREACH", "ETIMEDOUT"),
     "recv": ("ETIMEDOUT", "EHOSTUNREACH"),
     "send": ("ETIMEDOUT", "EHOSTUNREACH"),
+    "endpoint-recv": ("ENOBUFS", "ENOMEM"),
+    "endpoint-send": ("ENOBUFS", "ENOMEM"),
     "client-recv": ("ENOBUFS", "ENOMEM"),
     "client-send": ("ENOBUFS", "ENOMEM"),
     "epoll_ctl": ("ENOMEM", "ENOSPC"),
     "poll": ("ENOMEM",),
     "short": ("EIO",),
 }
+LASTING_ERRORS = {
+    "accept": ("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"),
+    "socket": ("ENFILE", "ENOBUFS"),
+    "endpoint-recv": ("ENOBUFS", "ENOMEM"),
+    "endpoint-send": ("ENOBUFS", "ENOMEM"),
+    "client-recv": ("ENOBUFS", "ENOMEM"),
+    "client-send": ("ENOBUFS", "ENOMEM"),
+    "poll": ("ENOMEM",),
+}
+"""Calls all of which fail for a while. Not those without which no notice can leave, which is owed at a fixed time."""
 KEY_BACKOFF_S = 1.0
 INITIAL_FAULT_SHARE = 0.15
 """Share of the schedules in which writes fail from the start."""
@@ -48,6 +60,7 @@
     "answered",
     "notice",
 )
+FRONT_FAULTS: tuple[Literal["silence", "reset", "delay"], ...] = ("silence", "reset", "delay")
 LINK_FAULTS: tuple[Literal["silence", "refuse", "reset", "delay"], ...] = ("silence", "refuse", "reset", "delay")
 
 
@@ -82,7 +95,18 @@
 
 
 def _stop(rng: random.Random, at_s: float) -> Fault:
-    return Fault(at_s=at_s, kind="stop", share=rng.uniform(0.1, 0.3), for_s=rng.uniform(0.2, 2.0))
+    longest_s = rng.choice((2.0, 2.0, 8.0))
+    return Fault(at_s=at_s, kind="stop", share=rng.uniform(0.1, 0.3), for_s=rng.uniform(0.2, longest_s))
+
+
+def _slow(rng: random.Random, at_s: float) -> Fault:
+    return Fault(
+        at_s=at_s, kind="slow", share=rng.uniform(0.1, 0.4), times=rng.uniform(0.3, 0.8), for_s=rng.uniform(1.0, 4.0)
+    )
+
+
+def _full(rng: random.Random, at_s: float) -> Fault:
+    return Fault(at_s=at_s, kind="full", share=rng.uniform(0.2, 0.6), for_s=rng.uniform(0.5, 4.0))
 
 
 def _file_errors(rng: random.Random, at_s: float) -> Fault:
@@ -111,6 +135,35 @@
     )
 
 
+def _lasting_errors(rng: random.Random, at_s: float) -> Fault:
+    call = rng.choice(tuple(LASTING_ERRORS))
+    return Fault(
+        at_s=at_s,
+        kind="errors",
+        call=call,
+        errno=rng.choice(LASTING_ERRORS[call]),
+        share=rng.uniform(0.2, 0.6),
+        rate=1.0,
+        for_s=rng.uniform(0.3, 3.0),
+    )
+
+
+def _failing_start(rng: random.Random, at_s: float) -> tuple[Fault, ...]:
+    """Forwarders are killed and started again while what a start needs fails."""
+    call, errors = rng.choice((("open", FILE_ERRORS), ("socket", SOCKET_ERRORS["socket"])))
+    failing = Fault(
+        at_s=at_s,
+        kind="errors",
+        call=call,
+        errno=rng.choice(errors),
+        share=1.0,
+        rate=rng.choice((0.7, 1.0)),
+        for_s=rng.uniform(2.0, 5.0),
+    )
+    restart = Fault(at_s=at_s + 0.3, kind="kill", share=rng.uniform(0.1, 0.3), back_s=rng.uniform(0.2, 1.0))
+    return failing, restart
+
+
 def _clock(rng: random.Random, at_s: float) -> Fault:
     step_s = rng.choice((-HOUR_S, -5.0, HOUR_S))
     return Fault(at_s=at_s, kind="clock", share=rng.uniform(0.3, 1.0), clock_s=step_s)
@@ -130,6 +183,19 @@
     )
 
 
+def _front_cut(rng: random.Random, at_s: float) -> Fault:
+    """Between clients and forwarders."""
+    return Fault(
+        at_s=at_s,
+        kind="cut",
+        between="front",
+        effect=rng.choice(FRONT_FAULTS),
+        share=rng.uniform(0.2, 0.8),
+        for_s=rng.uniform(0.5, 4.0),
+        delay_s=rng.uniform(*LINK_DELAY_S),
+    )
+
+
 def _crowd(rng: random.Random, at_s: float) -> Fault:
     return Fault(
         at_s=at_s,
@@ -181,7 +247,7 @@
     )
 
 
-FAULT_GENERATORS: tuple[Callable[[random.Random, float], Fault], ...] = (
+FAULT_GENERATORS: tuple[Callable[[random.Random, float], Fault | tuple[Fault, ...]], ...] = (
     _kill,
     _kill,
     _term,
@@ -195,8 +261,15 @@
     _file_errors,
     _socket_errors,
     _socket_errors,
+    _lasting_errors,
+    _lasting_errors,
+    _failing_start,
+    _slow,
+    _full,
     _clock,
     _cut,
+    _front_cut,
+    _front_cut,
     _crowd,
     _outage,
     _limit,
@@ -228,7 +301,8 @@
     """Draw the schedule of one seed."""
     rng = random.Random(f"soak/{seed}")
     count = rng.randint(*shape.faults)
-    faults = sorted((_draw_fault(rng, shape) for _ in range(count)), key=lambda fault: fault.at_s)
+    drawn = [fault for _ in range(count) for fault in _draw_faults(rng, shape)]
+    faults = sorted(drawn, key=lambda fault: fault.at_s)
     if rng.random() < INITIAL_FAULT_SHARE:
         faults.insert(0, _file_errors(rng, 0.0))
     return Scenario(
@@ -244,9 +318,10 @@
     )
 
 
-def _draw_fault(rng: random.Random, shape: ScheduleShape) -> Fault:
+def _draw_faults(rng: random.Random, shape: ScheduleShape) -> tuple[Fault, ...]:
     generate = rng.choice(FAULT_GENERATORS)
-    return generate(rng, rng.uniform(shape.first_s, shape.last_s))
+    drawn = generate(rng, rng.uniform(shape.first_s, shape.last_s))
+    return drawn if isinstance(drawn, tuple) else (drawn,)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -47,6 +47,17 @@
         event(0.3, EventKind.NOTICE, "a", state="failed"),
         *delivered("b", 2.0, 2, number=1),
     ],
+    "takes effect late under an id that its client gave up": [
+        event(0, EventKind.SUBMITTED, "a", state=REFUND_CLASS, number=0, destination=7, due_s=5),
+        event(0.4, EventKind.SUBMIT_TIMED_OUT, "a", number=0),
+        *delivered("b", 0.5, 1, number=0),
+        *called(2, "a", 2),
+    ],
+    "its connection was cut by the schedule": [
+        event(0, EventKind.SUBMITTED, "a", state=REFUND_CLASS, number=0, destination=7, due_s=5),
+        event(0.1, EventKind.SUBMIT_CUT_OFF, "a", number=0),
+        *delivered("b", 0.5, 1, number=0),
+    ],
     "returned unsent": [*submitted(0, "a"), event(5.2, EventKind.NOTICE, "a", state="returned"), *LATE],
     "failed after it ran": [
         *submitted(0, "a"),
