Hear an answer of discovery that came while the process stood still

What callors saw: a process that was stopped, or held up, past the time-out of a poll or of a post of notices closed the connection on which the answer lay unread: a drain that was told was not heard, notices were posted again.

Cause: the time-out was an asyncio.timeout around the wait; in the turn after the standstill the answer is read and the time-out cancels the task all the same. Class: a failure that passes, answered by a step that makes it worse.

Change: the wait ends by the answer or by its time, and the answer is looked at after either. Connecting is still bounded by the same time. Why it works: what has been read is a fact when the time is over.

--- a/forwarder/discovery/client.py
+++ b/forwarder/discovery/client.py
@@ -58,27 +58,37 @@
 
     # Requests
 
-    async def request(self, data: bytes) -> ResponseReader:
+    async def request(self, data: bytes, give_up_s: float) -> ResponseReader:
         """Writes a request and waits for the answer.
 
-        Cancelled, it leaves the connection in the middle of an answer: it must be closed then.
+        Cancelled or timed out, it leaves the connection in the middle of an answer: it must be closed then. What has
+        come by the time it looks counts, though the time is over: the process may have stood still.
+
+        Args:
+            data: the request.
+            give_up_s: until when the answer is waited for, by the loop's clock.
 
         Returns:
             The reader that holds the answer, until the next request.
 
         Raises:
+            TimeoutError: no complete answer has come in time.
             ConnectionError: the connection ended before the answer was complete.
             BadResponseError: the answer is malformed or too large.
         """
         if self.transport is None:
             raise ConnectionResetError("the connection ended")
         self.reader.renew()
-        self.answer = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self.answer = answer = loop.create_future()
         self.transport.write(data)
         try:
-            await self.answer
+            await asyncio.wait([answer], timeout=max(0.0, give_up_s - loop.time()))
         finally:
             self.answer = None
+        if not answer.done():
+            raise TimeoutError
+        answer.result()
         if not self.reader.keep_alive:
             self.close()
         return self.reader
@@ -138,23 +148,24 @@
             BadResponseError: the answer is malformed or too large.
         """
         data = render_request(method, path, f"{self.address.host}:{self.address.port}", (), body)
+        give_up_s = asyncio.get_running_loop().time() + timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._request_with_retries(data)
+            return await self._request_with_retries(data, give_up_s)
         except BaseException:
             self.channel.close()
             raise
 
-    async def _request_with_retries(self, data: bytes) -> ResponseReader:
+    async def _request_with_retries(self, data: bytes, give_up_s: float) -> ResponseReader:
         for pause_s in RECONNECT_PAUSES_S:
-            if self.channel.is_usable() or await self._try_connect():
+            if await self._try_connect(give_up_s):
                 try:
-                    return await self.channel.request(data)
+                    return await self.channel.request(data, give_up_s)
                 except ConnectionError:
                     pass
             await asyncio.sleep(pause_s)
-        await self._connect()
-        return await self.channel.request(data)
+        async with asyncio.timeout_at(give_up_s):
+            await self._connect()
+        return await self.channel.request(data, give_up_s)
 
     async def connect(self, timeout_s: float) -> None:
         """Opens the connection, if it is not open, so that the next request need not.
@@ -171,14 +182,16 @@
             if not self.channel.is_usable():
                 self.channel = await connect(lambda _: DiscoveryChannel(), self.address)
 
-    async def _try_connect(self) -> bool:
-        """Connects; returns False where this machine could not, for a moment.
+    async def _try_connect(self, give_up_s: float) -> bool:
+        """Connects, if that is not done; returns False where this machine could not, for a moment.
 
         Raises:
+            TimeoutError: it has not come up in time.
             OSError: discovery cannot be reached.
         """
         try:
-            await self._connect()
+            async with asyncio.timeout_at(give_up_s):
+                await self._connect()
         except OSError as error:
             if error.errno not in LOCAL_ERRORS:
                 raise
