Poll discovery again at once after a failure of this machine: no backoff for it

What callors saw: while no socket was to be had, or connect failed by this machine's fault, the watch of the list ended, and came back up to 4 s after the failure's end; what the agent holds counts as told meanwhile.

Cause: the decisions' backoff for polls, made for discovery's sake (0.5 to 4 s), held for failures that never reached it. Class: a failure that passes, answered by a step that lasts longer.

Change: a poll that fails for such an error is made again after 0.1 s, and the decisions do not hear of it; the log tells both ends. Why it works: LOCAL_ERRORS say nothing of discovery.

--- a/forwarder/discovery/endpoint_list_watch.py
+++ b/forwarder/discovery/endpoint_list_watch.py
@@ -11,8 +11,10 @@
 
 from forwarder.config.config import Address, EndpointList, parse_endpoint_list
 from forwarder.discovery.client import DiscoveryClient
+from forwarder.endpoints.local_errors import LOCAL_ERRORS
 from forwarder.protocol.checked_fields import MalformedInputError
 from forwarder.protocol.http1 import BadResponseError, ResponseReader
+from forwarder.runtime.failure_span import FailureSpan
 from forwarder.runtime.supervisor import Supervisor
 
 LIST_PATH = "/discovery/hosts"
@@ -22,6 +24,7 @@
 POLL_GRACE_S = 0.8  # a poll without an answer so long after its hold is given up (PROTOCOL: a change counts 2 s after)
 ANSWER_TIMEOUT_S = 2.5  # how long an answer to a poll without a hold may take
 FIRST_LIST_TIMEOUT_US = 2_000_000  # discovery answers a poll without a hold by then, or not at all (PROTOCOL, Figures)
+LOCAL_RETRY_S = 0.1  # after a failure of this machine, which nothing of reaches discovery
 MIN_POLL_INTERVAL_S = 0.1  # between two polls without a change; the next must come within 0.2 s (PROTOCOL)
 log = logging.getLogger("forwarder.discovery")
 
@@ -54,6 +57,7 @@
         self.supervisor = supervisor or Supervisor()
         self._task: asyncio.Task[None] | None = None
         self._polled: EndpointList | None = None
+        self.connecting = FailureSpan(log, "connect to poll the endpoint list")
 
     def has_unread_list(self) -> bool:
         """Returns whether discovery has answered something that is not handed on yet."""
@@ -97,10 +101,29 @@
         self._polled = None
         path, timeout_s = self._next_poll()
         try:
-            self._polled = _read_list(await self.client.request("GET", path, timeout_s))
+            self._polled = _read_list(await self._request(path, timeout_s))
         except (OSError, BadResponseError, MalformedInputError, ValueError) as error:
             log.warning("cannot poll the endpoint list: reason=%s", error or type(error).__name__)
 
+    async def _request(self, path: str, timeout_s: float) -> ResponseReader:
+        """Makes a request, again and again while this machine cannot: a backoff would only be for discovery's sake.
+
+        Raises:
+            OSError: discovery cannot be reached, or has not answered in time.
+            BadResponseError: the answer is malformed or too large.
+        """
+        while True:
+            try:
+                answer = await self.client.request("GET", path, timeout_s)
+            except OSError as error:
+                if error.errno not in LOCAL_ERRORS:
+                    raise
+                self.connecting.failed(error)
+                await asyncio.sleep(LOCAL_RETRY_S)
+            else:
+                self.connecting.worked()
+                return answer
+
     def _next_poll(self) -> tuple[str, float]:
         """Returns the path of the next poll, and its time-out in seconds."""
         if self.version < 0:  # version 0 is that of a list that never changed
