Take a connect that ran out of time in a standstill for this machine's failure

What callors saw: a process stopped while a connection to an endpoint came up counted it as no connection: an attempt was used up, and two such are an outage, after which a destination is paced as cold for 13 s.

Cause: the time-out of the connect was due as the process went on, and went before the connection that had come up. Evidence: test_a_connect_whose_time_passed_while_the_process_stood_still, red before (NO_CONNECTION). Class: a failure of this machine that is taken for news of another party, and a step that outlasts it.

Change: a time-out that comes over 0.1 s late is LOCAL_FAILURE: no attempt, tried again after 50 ms. Measured: tests of the pool. Why it works: a time-out that is late says how long this process stood still, and nothing else.

--- a/forwarder/endpoints/pool.py
+++ b/forwarder/endpoints/pool.py
@@ -36,6 +36,8 @@
 DEFAULT_IDLE_TIMEOUT_US = 60 * SECOND_US
 DEFAULT_CONNECT_TIMEOUT_US = SECOND_US
 MIN_CONNECT_TIMEOUT_S = 0.001
+STANDSTILL_US = 100_000
+"""A time-out that comes so late says that this process stood still, and nothing of the endpoint."""
 
 
 class ConnectionPool:
@@ -164,10 +166,15 @@
             self.finish(call, CallResult(Outcome.LOCAL_FAILURE if call.connection is None else Outcome.RESET))
 
     async def _connect_and_send(self, call: EndpointCall, address: Address) -> None:
-        timeout_us = min(self.connect_timeout_us, call.timeout_at_us - self.clock())
+        began_us = self.clock()
+        timeout_us = min(self.connect_timeout_us, call.timeout_at_us - began_us)
         try:
             async with asyncio.timeout(max(MIN_CONNECT_TIMEOUT_S, timeout_us / SECOND_US)):
                 connection = await connect(partial(EndpointConnection, self), address, self.descriptor_reserve)
+        except TimeoutError:
+            stood_still = self.clock() - began_us > max(0, timeout_us) + STANDSTILL_US
+            self.finish(call, CallResult(Outcome.LOCAL_FAILURE if stood_still else Outcome.NO_CONNECTION))
+            return
         except OSError as error:
             self.finish(call, CallResult(self._outcome_of_connect_error(error, call)))
             return
--- a/tests/endpoints/test_pool.py
+++ b/tests/endpoints/test_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 
 import pytest
 
@@ -175,3 +176,23 @@
         assert [end.outcome for end in ends] == [Outcome.DELIVERED if answered else Outcome.TIMED_OUT]
 
     play_with_platform(scene)
+
+
+def test_a_connect_whose_time_passed_while_the_process_stood_still_says_nothing_of_its_endpoint() -> None:
+    """Guards against an outage, and a used attempt, that a standstill of this process has made."""
+
+    async def scene() -> None:
+        ends: list[AttemptEnded] = []
+        peer = await Peer(always(OK)).start()
+        pool = make_pool(ends)
+        pool.update_addresses({1: Address("127.0.0.1", peer.port)})
+        pool.start(make_call(pool.clock, "m"))
+        await asyncio.sleep(0)
+        time.sleep(pool.connect_timeout_us / 1_000_000 + 0.3)  # noqa: ASYNC251 - the process stands still
+        async with asyncio.timeout(20):
+            while not ends:
+                await asyncio.sleep(0.005)
+        assert ends[0].outcome in (Outcome.LOCAL_FAILURE, Outcome.DELIVERED)
+        pool.close()
+
+    asyncio.run(scene())
