Set TCP_NODELAY on connections to endpoints and discovery again

Cause: asyncio sets TCP_NODELAY only on a socket that was made with IPPROTO_TCP; a connection by host and port is, the socket of runtime/patient_socket.py was not.

Change: the socket names its protocol. Why it works: asyncio asks for just that.

--- a/forwarder/runtime/patient_socket.py
+++ b/forwarder/runtime/patient_socket.py
@@ -113,4 +113,4 @@
 
 def _make_socket(address: Address) -> PatientSocket:
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    return PatientSocket(family, socket.SOCK_STREAM)
+    return PatientSocket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)  # else asyncio sets no TCP_NODELAY
