Set TCP_NODELAY on clients' connections: small answers no longer go with a reset

What callors saw: answers to requests that came together on one connection were lost where the connection was closed behind them over bytes that nobody had read: the client got the first answer and a reset (lost: no complete response).

Cause: the listening socket was made without IPPROTO_TCP, so asyncio set no TCP_NODELAY on what it accepted; the kernel held the second small answer back until the first was acknowledged, up to 40 ms, and a reset drops what it holds. Connections that a process had taken over had the option, since their protocol is read from the descriptor. Evidence: test_answers_reach_a_client_whose_connection_is_reset_behind_them, red before with 2 and 4 requests together: one answer came. Class: what this process believed to have left had not.

Change: the listening socket names its protocol; accepted ones inherit it. Why it works: nothing that was written waits in the kernel for the client.

--- a/forwarder/clients/listener.py
+++ b/forwarder/clients/listener.py
@@ -79,7 +79,7 @@
     while True:
         sock = None
         try:
-            sock = socket.socket(family, socket.SOCK_STREAM)
+            sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)  # else asyncio sets no TCP_NODELAY
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind((address.host.strip("[]"), address.port))
             return sock
