--- a/tests/runtime/test_busy_loop.py
+++ b/tests/runtime/test_busy_loop.py
@@ -10,9 +10,9 @@
 
 from benchmarks.accept import processor_s
 from lab.shim import Failure
-from tests.nodes import Node, message
+from tests.nodes import message
 from tests.platforms import Platform
-from tests.scenes import end_with_scene, play, start_endpoint
+from tests.scenes import play, start_endpoint, start_shimmed
 from tests.sockets import OK, always
 
 FAILING_S = 1.5
@@ -28,10 +28,7 @@
 
     async def scene(platform: Platform, folder: Path) -> None:
         await start_endpoint(platform, always(OK))
-        node = Node(folder, platform)
-        end_with_scene(node)
-        await node.fail()
-        await node.start()
+        node = await start_shimmed(folder, platform)
         clients = [await node.client() for _ in range(CLIENTS)]
         await node.fail(Failure(call, error))
         began_cpu_s, began_s = processor_s(node.process.pid), time.monotonic()
--- a/tests/runtime/test_failing_accept.py
+++ b/tests/runtime/test_failing_accept.py
@@ -11,9 +11,8 @@
 
 from lab.shim import Failure
 from tests.load import NEW, SteadyLoad
-from tests.nodes import Node
 from tests.platforms import Platform
-from tests.scenes import end_with_scene, play, received_ids, start_endpoint
+from tests.scenes import play, received_ids, start_endpoint, start_shimmed
 from tests.sockets import OK, always
 
 BEFORE_S = 0.5
@@ -26,13 +25,6 @@
 DESCRIPTORS = 64
 
 
-async def start_shimmed(platform: Platform, folder: Path) -> Node:
-    node = Node(folder, platform, max_open=MAX_OPEN_MESSAGES)
-    end_with_scene(node)
-    await node.fail()
-    return await node.start()
-
-
 @pytest.mark.parametrize("share", [1.0, 0.3])
 @pytest.mark.parametrize("error", ["ENFILE", "ENOBUFS", "ENOMEM", "EMFILE"])
 def test_clients_keep_their_connections_while_accept_fails(tmp_path: Path, error: str, share: float) -> None:
@@ -40,7 +32,7 @@
 
     async def scene(platform: Platform, folder: Path) -> None:
         peer = await start_endpoint(platform, always(OK))
-        node = await start_shimmed(platform, folder)
+        node = await start_shimmed(folder, platform, max_open=MAX_OPEN_MESSAGES)
         load = SteadyLoad(node)
         await load.start()
         await asyncio.sleep(BEFORE_S)
@@ -72,7 +64,7 @@
 
     async def scene(platform: Platform, folder: Path) -> None:
         await start_endpoint(platform, always(OK))
-        node = await start_shimmed(platform, folder)
+        node = await start_shimmed(folder, platform, max_open=MAX_OPEN_MESSAGES)
         resting = [await node.client() for _ in range(20)]
         for number, client in enumerate(resting):
             assert (await client.submit(f"rest-{number}", "status"))[0] == 202
--- a/tests/runtime/test_failing_send.py
+++ b/tests/runtime/test_failing_send.py
@@ -10,9 +10,8 @@
 
 from lab.shim import Failure
 from tests.load import SteadyLoad
-from tests.nodes import Node
 from tests.platforms import Platform
-from tests.scenes import end_with_scene, play, received_ids, start_endpoint
+from tests.scenes import play, received_ids, start_endpoint, start_shimmed
 from tests.sockets import OK, Answer, Request, always
 
 BEFORE_S = 0.5
@@ -53,10 +52,7 @@
 
     async def scene(platform: Platform, folder: Path) -> None:
         peer = await start_endpoint(platform, HANDLERS[handler])
-        node = Node(folder, platform, max_open=MAX_OPEN_MESSAGES)
-        end_with_scene(node)
-        await node.fail()
-        await node.start()
+        node = await start_shimmed(folder, platform, max_open=MAX_OPEN_MESSAGES)
         load = SteadyLoad(node)
         await load.start()
         await asyncio.sleep(BEFORE_S)
@@ -82,10 +78,7 @@
 
     async def scene(platform: Platform, folder: Path) -> None:
         peer = await start_endpoint(platform, always(OK))
-        node = Node(folder, platform, max_open=MAX_OPEN_MESSAGES)
-        end_with_scene(node)
-        await node.fail()
-        await node.start()
+        node = await start_shimmed(folder, platform, max_open=MAX_OPEN_MESSAGES)
         load = SteadyLoad(node)
         await load.start()
         await asyncio.sleep(BEFORE_S)
--- a/tests/runtime/test_local_failures.py
+++ b/tests/runtime/test_local_failures.py
@@ -10,7 +10,7 @@
 from lab.shim import Failure
 from tests.nodes import Node
 from tests.platforms import Platform
-from tests.scenes import end_with_scene, play, received_ids, start_endpoint
+from tests.scenes import play, received_ids, start_endpoint, start_shimmed
 from tests.sockets import OK, always
 
 CLASSES = ("order", "status", "turn", "pay")
@@ -49,10 +49,7 @@
 
     async def scene(platform: Platform, folder: Path) -> None:
         peer = await start_endpoint(platform, always(OK))
-        node = Node(folder, platform, max_open=MAX_OPEN_MESSAGES)
-        end_with_scene(node)
-        await node.fail()
-        await node.start()
+        node = await start_shimmed(folder, platform, max_open=MAX_OPEN_MESSAGES)
         clients = Clients(node)
         await clients.submit_for(BEFORE_S if kept else 0.0)
         accepted_before = len(await clients.accepted())
--- a/tests/runtime/test_notices_in_time.py
+++ b/tests/runtime/test_notices_in_time.py
@@ -12,7 +12,7 @@
 from lab.shim import Failure
 from tests.nodes import Node, message
 from tests.platforms import Platform
-from tests.scenes import end_with_scene, play, received_ids, start_endpoint, start_node
+from tests.scenes import play, received_ids, start_endpoint, start_node, start_shimmed
 from tests.sockets import Answer, Request, hang, once
 
 LOST_AFTER_S = 0.35
@@ -67,10 +67,7 @@
     async def scene(platform: Platform, folder: Path) -> None:
         await start_endpoint(platform, hang)
         times = NoticeTimes(platform)
-        node = Node(folder, platform)
-        end_with_scene(node)
-        await node.fail()
-        await node.start()
+        node = await start_shimmed(folder, platform)
         due_s = await submit_all(node)
         ready_s = 0.0
         if restarts:
@@ -122,10 +119,7 @@
     async def scene(platform: Platform, folder: Path) -> None:
         await start_endpoint(platform, hang)
         times = NoticeTimes(platform)
-        node = Node(folder, platform)
-        end_with_scene(node)
-        await node.fail()
-        await node.start()
+        node = await start_shimmed(folder, platform)
         client = await node.client()
         assert (await client.submit("before", "status"))[0] == 202
         await node.fail(Failure("client-recv", error))
--- a/tests/runtime/test_unsent_answers.py
+++ b/tests/runtime/test_unsent_answers.py
@@ -11,9 +11,9 @@
 
 from benchmarks.accept import processor_s
 from lab.shim import Failure
-from tests.nodes import Node, message
+from tests.nodes import message
 from tests.platforms import Platform
-from tests.scenes import end_with_scene, play, received_ids, start_endpoint
+from tests.scenes import play, received_ids, start_endpoint, start_shimmed
 from tests.sockets import OK, Answer, Request, always
 
 CLIENT_TIMEOUT_S = 0.4
@@ -39,10 +39,7 @@
             return told_wait if len(peer.requests) == 1 else OK
 
         peer = await start_endpoint(platform, first_waits)
-        node = Node(folder, platform)
-        end_with_scene(node)
-        await node.fail()
-        await node.start()
+        node = await start_shimmed(folder, platform)
         assert (await node.submit("held", "status"))[0] == 202
         await peer.wait_for_requests(1)  # its destination is left alone from here on
         await node.fail(Failure("client-send", error))
@@ -74,10 +71,7 @@
 
     async def scene(platform: Platform, folder: Path) -> None:
         peer = await start_endpoint(platform, always(Answer(429, {"X-RateLimit-Wait-Ms": "10000"}), OK))
-        node = Node(folder, platform)
-        end_with_scene(node)
-        await node.fail()
-        await node.start()
+        node = await start_shimmed(folder, platform)
         assert (await node.submit("held", "status"))[0] == 202
         await peer.wait_for_requests(1)
         await node.fail(Failure("client-send", "ENOMEM"))
@@ -102,10 +96,7 @@
             return OK
 
         peer = await start_endpoint(platform, answer)
-        node = Node(folder, platform)
-        end_with_scene(node)
-        await node.fail(Failure("client-send", "ENOMEM"))
-        await node.start()
+        node = await start_shimmed(folder, platform, Failure("client-send", "ENOMEM"))
         client = await node.client()
         client.writer.write(message("heard", "status"))
         await asyncio.sleep(CLIENT_TIMEOUT_S / 2)
--- a/tests/runtime/test_watch_after_failure.py
+++ b/tests/runtime/test_watch_after_failure.py
@@ -9,9 +9,8 @@
 import pytest
 
 from lab.shim import Failure
-from tests.nodes import Node
 from tests.platforms import Platform
-from tests.scenes import end_with_scene, play, start_endpoint
+from tests.scenes import play, start_endpoint, start_shimmed
 from tests.sockets import OK, Peer, always
 
 FAILING_S = 5.0
@@ -31,10 +30,7 @@
 
     async def scene(platform: Platform, folder: Path) -> None:
         await start_endpoint(platform, always(OK))
-        node = Node(folder, platform)
-        end_with_scene(node)
-        await node.fail()
-        await node.start()
+        node = await start_shimmed(folder, platform)
         await platform.wait_for_requests(2)
         await node.fail(Failure(call, error))
         await end_connections(platform)
--- a/tests/scenes.py
+++ b/tests/scenes.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from lab.shim import Failure
 from tests.nodes import Node
 from tests.platforms import Platform
 from tests.sockets import Peer
@@ -49,6 +50,14 @@
     return node
 
 
+async def start_shimmed(folder: Path, platform: Platform, *failures: Failure, **more: Any) -> Node:
+    """Starts a node whose system calls may fail, these from its start on; it ends with the scene."""
+    node = Node(folder, platform, **more)
+    end_with_scene(node)
+    await node.fail(*failures)
+    return await node.start()
+
+
 async def start_endpoint(platform: Platform, handler: Any, name: str = "s1", **more: Any) -> Peer:
     """Starts an endpoint, and adds it to the platform's list."""
     peer = await Peer(handler).start()
