Hand the connection for notices over with all else

What callors saw: an upgrade while no socket was to be had (ENOBUFS, 4.9 s): messages that fell due ended 0.6 to 1.2 s after their time (lost, 3).

Cause: the process that takes over got every connection but the one for notices, and could open none. Reproduced by test_ends_are_told_in_time_by_a_process_that_took_over_and_can_have_no_socket, red before (no notice at all within 20 s of patience).

Change: the description names its descriptor under a key of its own, which versions before pass over; it is left out while a post is under way on it, and not used where the platform has moved. Why it works: the new process holds before it serves what the old one held.

--- a/forwarder/discovery/client.py
+++ b/forwarder/discovery/client.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from forwarder.clients.listener import unread
 from forwarder.config.config import Address
 from forwarder.endpoints.local_errors import LOCAL_ERRORS
 from forwarder.protocol.http1 import MAX_ENDPOINT_LIST_BYTES, BadResponseError, ResponseReader, render_request
-from forwarder.runtime.patient_socket import connect
+from forwarder.runtime.patient_socket import PatientSocket, connect
 
 RECONNECT_PAUSES_S = (0.0, 0.02, 0.05)  # short: until an answer has been read, calls go by an older endpoint list
 
@@ -167,6 +168,16 @@
             await self._connect()
         return await self.channel.request(data, give_up_s)
 
+    async def adopt(self, sock: socket.socket) -> None:
+        """Goes on with a connection of the process before, on which no request is under way.
+
+        Raises:
+            OSError: the connection cannot be used.
+        """
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        _, self.channel = await loop.create_connection(DiscoveryChannel, sock=PatientSocket.of(sock))
+
     async def connect(self, timeout_s: float) -> None:
         """Opens the connection, if it is not open, so that the next request need not.
 
--- a/forwarder/discovery/notifier.py
+++ b/forwarder/discovery/notifier.py
@@ -96,6 +96,11 @@
         """Keeps a connection open from now on: a notice that falls due needs none to be opened then."""
         self._keeping = self.supervisor.keep("connection for notices", self._keep_connected)
 
+    def idle_connection(self) -> asyncio.Transport | None:
+        """Returns the connection that is kept open, if there is one and no post is under way on it."""
+        is_used = any(post.client is self.client for post in self._posts)
+        return None if is_used or not self.client.channel.is_usable() else self.client.channel.transport
+
     async def _keep_connected(self) -> None:
         loop = asyncio.get_running_loop()
         failures = 0
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -30,7 +30,7 @@
 from forwarder.runtime.effects import Effects
 from forwarder.runtime.endpoint_list import EndpointListUpdates
 from forwarder.runtime.extension import Extension, ExtensionFactory, Syncer
-from forwarder.runtime.handover import HandoverSender, adopt_calls, adopt_clients
+from forwarder.runtime.handover import HandoverSender, adopt_calls, adopt_clients, adopt_notice_connection
 from forwarder.runtime.handover_format import HandoverDescription
 from forwarder.runtime.intake import SubmissionIntake
 from forwarder.runtime.invariants import Invariants
@@ -242,6 +242,7 @@
         self._log_descriptors()
         if self.handover is not None:
             await adopt_calls(self, self.handover)
+            await adopt_notice_connection(self, self.handover)
         self.loop.run_round()
         self.notices.keep_connected()
         self.notices.wake()
--- a/forwarder/runtime/handover.py
+++ b/forwarder/runtime/handover.py
@@ -11,6 +11,7 @@
 import logging
 import os
 import socket
+from dataclasses import astuple
 
 from forwarder.clients.listener import fileno
 from forwarder.decisions.outcomes import Outcome
@@ -97,6 +98,7 @@
     client_listener = table.add(listener.sock.fileno())
     endpoint_connections = [table.add(fileno(connection.transport)) for connection in connections]
     admin_listeners, admin_connections = _describe_admin(runtime, table)
+    notice_connection = runtime.notices.idle_connection()
     description = HandoverDescription(
         clock_base_ns=runtime.clock.offset_ns,
         endpoint_numbers=runtime.endpoint_table.numbers,
@@ -109,6 +111,7 @@
         admin_listeners=admin_listeners,
         admin_connections=admin_connections,
         clients=_describe_clients(runtime, table),
+        notice_connection=None if notice_connection is None else table.add(fileno(notice_connection)),
     )
     return description, table.descriptors
 
@@ -179,6 +182,21 @@
         runtime.pool.finish(call, CallResult(Outcome.RESET))
 
 
+async def adopt_notice_connection(runtime: Runtime, handover: HandoverState) -> None:
+    """Goes on with the connection for notices, if it leads to where the platform is now."""
+    if handover.description.notice_connection is None:
+        return
+    sock = handover.socket(handover.description.notice_connection)
+    try:
+        is_current = sock.getpeername()[:2] == astuple(runtime.config.discovery)
+    except OSError:
+        is_current = False
+    if is_current:
+        await runtime.supervisor.guarded("hand-over of a connection", runtime.notices.client.adopt(sock))
+    else:
+        sock.close()
+
+
 async def adopt_clients(runtime: Runtime, handover: HandoverState) -> None:
     """Goes on with the clients and operators of the process before, and closes what is left of the hand-over."""
     description = handover.description
--- a/forwarder/runtime/handover_format.py
+++ b/forwarder/runtime/handover_format.py
@@ -115,6 +115,8 @@
     admin_listeners: Sequence[int] = ()
     admin_connections: Sequence[HandedAdminConnection] = ()
     clients: Sequence[HandedClient] = ()
+    notice_connection: int | None = None
+    """The descriptor of the connection for notices; None where the older process had none to give."""
 
 
 def encode_description(description: HandoverDescription) -> bytes:
@@ -135,6 +137,8 @@
         ],
         "doors": [_client_to_stored(client) for client in description.clients],
     }
+    if description.notice_connection is not None:  # a version before does not know the key, and passes over it
+        stored["notices"] = description.notice_connection
     return json.dumps(stored, separators=(",", ":")).encode()
 
 
@@ -161,6 +165,7 @@
             HandedAdminConnection(caller["fd"], base64.b64decode(caller["line"])) for caller in stored["callers"]
         ],
         clients=[_client_from_stored(client) for client in stored["doors"]],
+        notice_connection=stored.get("notices"),
     )
 
 
--- a/tests/runtime/test_notices_in_time.py
+++ b/tests/runtime/test_notices_in_time.py
@@ -12,7 +12,7 @@
 from lab.shim import Failure
 from tests.nodes import Node, message
 from tests.platforms import Platform
-from tests.scenes import play, received_ids, start_endpoint, start_node, start_shimmed
+from tests.scenes import end_with_scene, play, received_ids, start_endpoint, start_node, start_shimmed
 from tests.sockets import Answer, Request, hang, once
 
 LOST_AFTER_S = 0.35
@@ -86,6 +86,28 @@
     play(scene, tmp_path)
 
 
+def test_ends_are_told_in_time_by_a_process_that_took_over_and_can_have_no_socket(tmp_path: Path) -> None:
+    """Found by the soak (seed 1101): all was handed over but the connection for notices."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        await start_endpoint(platform, hang)
+        times = NoticeTimes(platform)
+        node = await start_shimmed(folder, platform)
+        due_s = await submit_all(node)
+        await node.fail(Failure("socket", "ENFILE"))
+        new = node.successor()
+        end_with_scene(new)
+        await new.start()
+        assert await node.process.wait() == 0
+        await platform.wait_until(lambda: len(platform.notices) >= len(due_s))
+        late = {
+            name: times.came_s[name] - due for name, due in due_s.items() if times.came_s[name] > due + LOST_AFTER_S
+        }
+        assert not late
+
+    play(scene, tmp_path)
+
+
 @pytest.mark.parametrize("answers_after_s", [0.25, 0.6])
 def test_a_platform_that_answers_posts_slowly_is_heard(tmp_path: Path, answers_after_s: float) -> None:
     """Guards against posts that are given up before their answer, all of them, for as long as the platform is slow."""
