Hand over only once a 202 that waits for buffers has begun to leave

What callors saw: an upgrade while a 202 could not leave (client-send: ENOMEM) ended its connection unanswered, with the message on record (lost: no complete response).

Cause: a connection with unsent bytes cannot be handed over, and ended with the old process. Evidence: test_an_upgrade_waits_for_a_202_that_cannot_leave_just_now, red before (0 bytes read). Class: a failure that passes, answered by a step that makes it worse.

Why it works: the failure passes, and an upgrade can wait.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -173,6 +173,10 @@
         """Returns whether the client has not taken all of its answers yet."""
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    def awaits_buffers(self) -> bool:
+        """Returns whether an answer on which a message depends could not begin to leave, for want of buffers here."""
+        return not self.is_closed() and self._unsent.await_buffers()
+
     # Answering
 
     def answer(
--- a/forwarder/clients/unsent_answers.py
+++ b/forwarder/clients/unsent_answers.py
@@ -42,10 +42,18 @@
         if undo is not None and self._sock is not None and self._sock.sent_bytes <= first_byte:
             self._waiting.append(UnsentAnswer(first_byte, undo))
 
+    def await_buffers(self) -> bool:
+        """Returns whether an answer that would have to be undone waits for buffers of this machine, not for its peer."""
+        is_short = self._sock is not None and self._sock.is_short_of_buffers
+        return is_short and any(self._is_unsent(each) for each in self._waiting)
+
     def undo(self) -> bool:
         """Undoes the answers of which no byte has left; returns whether there were any. They must not leave after."""
         waiting, self._waiting = self._waiting, deque()
-        unsent = [each for each in waiting if self._sock is not None and self._sock.sent_bytes <= each.first_byte]
+        unsent = [each for each in waiting if self._is_unsent(each)]
         for answer in unsent:
             answer.undo()
         return bool(unsent)
+
+    def _is_unsent(self, answer: UnsentAnswer) -> bool:
+        return self._sock is not None and self._sock.sent_bytes <= answer.first_byte
--- a/forwarder/runtime/handover.py
+++ b/forwarder/runtime/handover.py
@@ -55,6 +55,8 @@
         if not runtime.loop.sync_barrier():
             return  # calls and responses wait for the sync: they cannot be handed over
         runtime.store.retry()
+        if any(client.awaits_buffers() for client in runtime.server.connections):
+            return  # an answer that waits here would be lost with this process; the other one asks again
         if runtime.invariants.may_hand_over() is not None:
             return  # the other process goes by the journal, which has to have all that is here; it asks again
         description, descriptors = describe(runtime)
--- a/tests/runtime/test_unsent_answers.py
+++ b/tests/runtime/test_unsent_answers.py
@@ -13,7 +13,7 @@
 from lab.shim import Failure
 from tests.nodes import message
 from tests.platforms import Platform
-from tests.scenes import play, received_ids, start_endpoint, start_shimmed
+from tests.scenes import end_with_scene, play, received_ids, start_endpoint, start_shimmed
 from tests.sockets import OK, Answer, Request, always
 
 CLIENT_TIMEOUT_S = 0.4
@@ -106,3 +106,25 @@
         await peer.wait_for_requests(1)
 
     play(scene, tmp_path)
+
+
+def test_an_upgrade_waits_for_a_202_that_cannot_leave_just_now(tmp_path: Path) -> None:
+    """Guards against a connection that ended unanswered: what its process had written could not be handed over."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        await start_endpoint(platform, always(OK))
+        node = await start_shimmed(folder, platform)
+        client = await node.client()
+        await node.fail(Failure("client-send", "ENOMEM"))
+        client.writer.write(message("heard", "status"))
+        new = node.successor()
+        new.shim = None
+        end_with_scene(new)
+        starting = asyncio.create_task(new.start())
+        await asyncio.sleep(1.5)  # it has asked by then, again and again
+        await node.fail()
+        assert (await client.answer())[0] == 202
+        await starting
+        assert await node.process.wait() == 0
+
+    play(scene, tmp_path)
