--- a/forwarder/clients/unsent_answers.py
+++ b/forwarder/clients/unsent_answers.py
@@ -43,7 +43,7 @@
             self._waiting.append(UnsentAnswer(first_byte, undo))
 
     def await_buffers(self) -> bool:
-        """Returns whether an answer that would have to be undone waits for buffers of this machine, not for its peer."""
+        """Returns whether an answer that would have to be undone waits for buffers here, and not for its peer."""
         is_short = self._sock is not None and self._sock.is_short_of_buffers
         return is_short and any(self._is_unsent(each) for each in self._waiting)
 
