Give the folder's lock, failed connects and a client's hand-over modules of their own

What follows from the lock is FolderOwnership, what a failed connect says of its endpoint a pure function, the record of a client's connection a function beside it. No behaviour changes, but that a connect which ran out of time in a standstill is counted under held back.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -57,7 +57,7 @@
     Args:
         server: the server that it belongs to.
         sock: its socket; None where answers that cannot leave are not to be undone.
-        handed_over: what the process before described of it by `hand_over`; None for a new one.
+        handed_over: what the process before described of it by `describe`; None for a new one.
         accept_delay_us: how long it may have waited to be accepted, and its first request with it.
     """
 
@@ -86,7 +86,7 @@
         """Whether the client does not read its answers."""
         self._unsent = UnsentAnswers(sock)
         self._handed_over = handed_over
-        self._peer_ended = False
+        self.peer_ended = False
         # No client waits for longer than its time-out, so what is open now is no older than that.
         self._arrivals = ArrivalEstimate(now_us - min(accept_delay_us, CLIENT_TIMEOUT_US))
 
@@ -114,7 +114,7 @@
 
         What it may still read is a rejection. An answer of which nothing has left is undone, and does not leave.
         """
-        self._peer_ended = True
+        self.peer_ended = True
         if self._unsent.undo():
             self.abort("its answer could not leave before its client did")
             return False
@@ -195,7 +195,7 @@
         self.on_withdrawn = None
         if request is None or self.transport is None or self.transport.is_closing():
             return
-        keep_alive = request.keep_alive and not self.server.draining and not self._peer_ended
+        keep_alive = request.keep_alive and not self.server.draining and not self.peer_ended
         answer = _render_answer(request, status, text, headers, keep_alive)
         self.transport.write(answer)
         self._unsent.note(len(answer), on_unsent)
@@ -209,7 +209,7 @@
             loop.call_later(LINGER_S, self.close, "an unreadable request was answered")
         elif not keep_alive and not self.waiting:
             self.close("answered, and not kept alive")
-        elif not self._peer_ended:
+        elif not self.peer_ended:
             loop.call_soon(self._answer_next)
 
     def answer_waiting(self) -> None:
@@ -253,29 +253,6 @@
 
     # Hand-over to another process
 
-    def hand_over(self) -> ClientRecord | None:
-        """Returns what another process needs to go on with this connection; None where it cannot."""
-        assert self.transport is not None
-        partial = self.parser.partial
-        if (
-            self.current_request is not None
-            or self.waiting
-            or self.parser.is_broken
-            or self._peer_ended
-            or (partial is not None and not self.parser.partial_bytes)
-            or self.transport.is_closing()
-            or self.transport.get_write_buffer_size()
-        ):
-            return None
-        return ClientRecord(
-            connected_at_us=self.opened_us,
-            last_used_us=self.last_used_us,
-            has_sent_request=self.has_sent_request,
-            handed_over_at_us=self.server.clock(),
-            request_began_us=0 if partial is None else partial.arrived_us,
-            received=bytes(self.parser.partial_bytes),
-        )
-
     def _restore(self, handed_over: ClientRecord) -> None:
         self.opened_us = handed_over.connected_at_us
         self.has_sent_request = handed_over.has_sent_request
@@ -346,6 +323,31 @@
     return head if request.method == "HEAD" else head + body
 
 
+def describe(connection: ClientConnection) -> ClientRecord | None:
+    """Returns what another process needs to go on with a connection; None where it cannot."""
+    parser, transport = connection.parser, connection.transport
+    assert transport is not None
+    partial = parser.partial
+    if (
+        connection.current_request is not None
+        or connection.waiting
+        or parser.is_broken
+        or connection.peer_ended
+        or (partial is not None and not parser.partial_bytes)
+        or transport.is_closing()
+        or transport.get_write_buffer_size()
+    ):
+        return None
+    return ClientRecord(
+        connected_at_us=connection.opened_us,
+        last_used_us=connection.last_used_us,
+        has_sent_request=connection.has_sent_request,
+        handed_over_at_us=connection.server.clock(),
+        request_began_us=0 if partial is None else partial.arrived_us,
+        received=bytes(parser.partial_bytes),
+    )
+
+
 def disconnected(waiting: Mapping[str, ClientConnection]) -> list[str]:
     """Returns the ids of those messages that wait for an answer whose client has ended its side or the connection.
 
--- a/forwarder/endpoints/pool.py
+++ b/forwarder/endpoints/pool.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
 from collections.abc import Callable
 from functools import partial
@@ -12,10 +11,10 @@
 from forwarder.decisions.outcomes import Outcome
 from forwarder.endpoints.call import CallResult, EndpointCall
 from forwarder.endpoints.call_checks import CallChecks
+from forwarder.endpoints.connect_outcome import outcome_of_connect_error
 from forwarder.endpoints.connection import EndpointConnection, SendResult
 from forwarder.endpoints.idle_connections import IdleConnections
 from forwarder.endpoints.in_flight_calls import AttemptSink, InFlightCalls
-from forwarder.endpoints.local_errors import LOCAL_ERRORS
 from forwarder.endpoints.request_rendering import render_call
 from forwarder.endpoints.retry_after import RetryAfterTable
 from forwarder.runtime.descriptor_reserve import DescriptorReserve
@@ -36,8 +35,6 @@
 DEFAULT_IDLE_TIMEOUT_US = 60 * SECOND_US
 DEFAULT_CONNECT_TIMEOUT_US = SECOND_US
 MIN_CONNECT_TIMEOUT_S = 0.001
-STANDSTILL_US = 100_000
-"""A time-out that comes so late says that this process stood still, and nothing of the endpoint."""
 
 
 class ConnectionPool:
@@ -171,12 +168,11 @@
         try:
             async with asyncio.timeout(max(MIN_CONNECT_TIMEOUT_S, timeout_us / SECOND_US)):
                 connection = await connect(partial(EndpointConnection, self), address, self.descriptor_reserve)
-        except TimeoutError:
-            stood_still = self.clock() - began_us > max(0, timeout_us) + STANDSTILL_US
-            self.finish(call, CallResult(Outcome.LOCAL_FAILURE if stood_still else Outcome.NO_CONNECTION))
-            return
         except OSError as error:
-            self.finish(call, CallResult(self._outcome_of_connect_error(error, call)))
+            outcome = outcome_of_connect_error(error, self.clock() - began_us, timeout_us)
+            if outcome is Outcome.LOCAL_FAILURE:
+                self.reasons.note(Subject.HELD_BACK, f"call: {error.strerror or 'stood still'}", call.items[0].id)
+            self.finish(call, CallResult(outcome))
             return
         self.connections.add(connection)
         self._end_denied(call, address)  # the list, a Retry-After or the time may have changed meanwhile
@@ -197,12 +193,6 @@
             self._hold_back_unsent(call)
             self.keep_idle(connection, call.endpoint)
 
-    def _outcome_of_connect_error(self, error: OSError, call: EndpointCall) -> Outcome:
-        if error.errno not in LOCAL_ERRORS:
-            return Outcome.NO_CONNECTION
-        self.reasons.note(Subject.HELD_BACK, f"call: {errno.errorcode[error.errno or 0]}", call.items[0].id)
-        return Outcome.LOCAL_FAILURE
-
     def _end_denied(self, call: EndpointCall, address: Address) -> None:
         """Ends the attempts of those messages of a call to this address that may not be sent now."""
         self.checks.end_denied(call, is_listed=self.addresses.get(call.endpoint) == address)
--- a/forwarder/runtime/context.py
+++ b/forwarder/runtime/context.py
@@ -46,11 +46,5 @@
     def publish_serving_endpoints(self) -> None:
         """Tells the pool and the extensions which endpoints may be called: the last check before the wire."""
 
-    def begin_to_write(self) -> None:
-        """Writes what each start writes, as soon as the folder's lock is had."""
-
-    def begin_to_hand_over(self) -> None:
-        """Lets another process take over, as soon as there is a lock to be handed to it."""
-
     def start_draining(self) -> None:
         """Sends clients away; what was accepted goes on."""
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -30,6 +30,7 @@
 from forwarder.runtime.effects import Effects
 from forwarder.runtime.endpoint_list import EndpointListUpdates
 from forwarder.runtime.extension import Extension, ExtensionFactory, Syncer
+from forwarder.runtime.folder_ownership import FolderOwnership
 from forwarder.runtime.handover import HandoverSender, adopt_calls, adopt_clients, adopt_notice_connection
 from forwarder.runtime.handover_format import HandoverDescription
 from forwarder.runtime.intake import SubmissionIntake
@@ -94,18 +95,17 @@
         self.endpoint_table = EndpointTable(
             settings.kinds, description.endpoint_numbers or {}, description.destinations
         )
-        self._has_begun_to_write = False
-        self._hands_over = False
         self.extensions: list[Extension] = []
         self._build_sides(settings, sum(factory.descriptors for factory in extensions))
         self._build_discovery()
         self._build_loop()
         self.endpoint_lists = EndpointListUpdates(self)
         self.commands = AdminCommands(self)
-        self.checks = PeriodicChecks(self)
         self.reloader = ConfigReloader(self)
         self.shutdown = GracefulShutdown(self)
         self.handover_sender = HandoverSender(self)
+        self.folder_ownership = FolderOwnership(self, self.handover_sender.hand_over)
+        self.checks = PeriodicChecks(self, self.folder_ownership)
         self.extensions += [make_extension(self) for make_extension in extensions]
         self.watch.version = recover_state(self)
         self.startup_progress = StartupProgress(self.clock(), self.store.messages)
@@ -237,7 +237,7 @@
         if self.ownership.has_lock:
             self.clock.store_anchor()
         self.store.take_ownership()
-        self.begin_to_write()
+        self.folder_ownership.begin_to_write()
         log.info("start %d of %s: %s", self.identity.start_count, self.identity.folder_id, self.start_kind.value)
         self._log_descriptors()
         if self.handover is not None:
@@ -253,7 +253,7 @@
         for extension in self.extensions:
             await extension.open()
         admin_listening = self.supervisor.keep("control", self._listen_for_operators)
-        self.begin_to_hand_over()
+        self.folder_ownership.begin_to_hand_over()
         log.info("ready")
         self.startup_progress.ready(self.clock())
         checking = self.checks.start()
@@ -262,20 +262,6 @@
         admin_listening.cancel()
         await self._close()
 
-    def begin_to_write(self) -> None:
-        """Writes what each start writes, as soon as the folder's lock is had."""
-        if self.ownership.has_lock and not self._has_begun_to_write:
-            self._has_begun_to_write = True
-            self.clock.store_anchor()
-            assert self.identity is not None
-            identity.record_start(self.identity, self.config.state_folder, self.store.durable)
-
-    def begin_to_hand_over(self) -> None:
-        """Lets another process take over, as soon as there is a lock to be handed to it."""
-        if self.ownership.has_lock and not self._hands_over:
-            self._hands_over = True
-            self.ownership.listen(self.handover_sender.hand_over)
-
     def _log_descriptors(self) -> None:
         soft_limit, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
         log.info(
--- a/forwarder/runtime/handover.py
+++ b/forwarder/runtime/handover.py
@@ -13,6 +13,7 @@
 import socket
 from dataclasses import astuple
 
+from forwarder.clients.client_connection import describe as describe_client
 from forwarder.clients.listener import fileno
 from forwarder.decisions.outcomes import Outcome
 from forwarder.endpoints.call import CallItem, CallResult, EndpointCall, LimitScopeKey
@@ -140,7 +141,7 @@
     """
     server = runtime.server
     assert server.listener is not None
-    records = [(client, record) for client in server.connections if (record := client.hand_over()) is not None]
+    records = [(client, record) for client in server.connections if (record := describe_client(client)) is not None]
     records.sort(key=lambda each: (not each[0].is_idle(), each[0].last_used_us), reverse=True)
     free_sockets = runtime.config.max_sockets - len(server.connections) - len(runtime.pool.connections) - SPARE_SOCKETS
     known = {fileno(client.transport) for client in server.connections}
--- a/forwarder/runtime/periodic_checks.py
+++ b/forwarder/runtime/periodic_checks.py
@@ -8,6 +8,7 @@
 
 from forwarder.decisions.events import MessageWithdrawn, PendingNoticeRecovered
 from forwarder.runtime.context import Runtime
+from forwarder.runtime.folder_ownership import FolderOwnership
 from forwarder.runtime.startup_phase import StartupPhase
 from forwarder.runtime.state_log import log_state
 from forwarder.runtime.supervisor import Repeating
@@ -27,8 +28,9 @@
 class PeriodicChecks:
     """Retries what could not be written, logs the state, and ends messages that were left without an end."""
 
-    def __init__(self, runtime: Runtime) -> None:
+    def __init__(self, runtime: Runtime, folder_ownership: FolderOwnership) -> None:
         self.runtime = runtime
+        self.folder_ownership = folder_ownership
         self._next_check_s = 0.0
         self._lag_logged_s = -LAG_LOG_INTERVAL_S
         self._state_logged_s = time.monotonic()
@@ -53,10 +55,8 @@
             log_state(runtime)
         runtime.store.retry()
         runtime.store.write_snapshot_step()
-        if runtime.ownership.has_lock:
-            runtime.clock.store_anchor()
-            runtime.begin_to_write()
-            runtime.begin_to_hand_over()
+        self.folder_ownership.begin_to_write()
+        self.folder_ownership.begin_to_hand_over()
         if runtime.store.pending_notices:
             runtime.notices.wake()
         if now_s - self._reasons_logged_s > REASONS_LOG_INTERVAL_S:
--- a/tests/runtime/test_periodic_checks.py
+++ b/tests/runtime/test_periodic_checks.py
@@ -35,12 +35,12 @@
         store=store,
         clock=clock,
         notices=SimpleNamespace(wake=lambda: None),
-        ownership=SimpleNamespace(has_lock=False),
         startup_progress=SimpleNamespace(phase=StartupPhase.SERVING),
         run_state=SimpleNamespace(is_frozen=False),
         post=lambda event: None,
     )
-    checks = PeriodicChecks(runtime)
+    folder_ownership = SimpleNamespace(begin_to_write=lambda: None, begin_to_hand_over=lambda: None)
+    checks = PeriodicChecks(runtime, folder_ownership)
     checks._next_check_s = time.monotonic()
     return checks
 
