--- a/lab/harness/fakes.py
+++ b/lab/harness/fakes.py
@@ -16,6 +16,15 @@
 from lab.harness.oracle import Oracle
 
 
+class HeldOwnership:
+    """Stands for the lock of a folder that no other process has."""
+
+    has_lock = True
+
+    def acquire(self) -> None:
+        """Nothing has to be done."""
+
+
 class OpenTransport:
     """The transport of a client that stays."""
 
--- a/lab/harness/forwarder.py
+++ b/lab/harness/forwarder.py
@@ -22,7 +22,7 @@
 from forwarder.runtime.ownership import HandoverState
 from forwarder.units import SECOND_US
 from lab.harness.config import DESTINATIONS, endpoint_entry, write_config
-from lab.harness.fakes import FakeClientConnection, FakePool, FakeWatch, ManualClock, OpenTransport
+from lab.harness.fakes import FakeClientConnection, FakePool, FakeWatch, HeldOwnership, ManualClock, OpenTransport
 from lab.harness.oracle import MessageState, Oracle
 
 START_US = 1_000 * SECOND_US
@@ -89,7 +89,7 @@
         engine.loop.events.append(EndpointListReceived(EndpointListKind.CHANGES))
 
     def _make_engine(self, handed_over: HandoverState | None = None) -> Engine:
-        engine = Engine(self.config, UNUSED, AdminServer(), UNUSED, handed_over, clock=self.clock)  # type: ignore[arg-type]
+        engine = Engine(self.config, HeldOwnership(), AdminServer(), UNUSED, handed_over, clock=self.clock)  # type: ignore[arg-type]
         engine.store.writer.monotonic_s = lambda: self.clock.now_us / SECOND_US
         engine.loop.schedule = lambda: None  # type: ignore[method-assign]
         engine.loop.set_timer = lambda at_us, token: None  # type: ignore[method-assign]
