Keep a socket in reserve for notices: one that must be opened anew need not wait

Cause: the connection is kept open, and opening it anew needs a socket. Reproduced by test_ends_are_told_in_time_on_a_socket_in_reserve, both cases red before (no notice within 20 s).

Change: the notifier holds an unconnected socket, takes it where none can be made, and fills it again once one can. Why it works: the socket is held before it is owed. It serves one opening for each failure; a second within it waits.

--- a/forwarder/discovery/client.py
+++ b/forwarder/discovery/client.py
@@ -9,7 +9,7 @@
 from forwarder.config.config import Address
 from forwarder.endpoints.local_errors import LOCAL_ERRORS
 from forwarder.protocol.http1 import MAX_ENDPOINT_LIST_BYTES, BadResponseError, ResponseReader, render_request
-from forwarder.runtime.patient_socket import PatientSocket, connect
+from forwarder.runtime.patient_socket import PatientSocket, SpareSocket, connect
 
 RECONNECT_PAUSES_S = (0.0, 0.02, 0.05)  # short: until an answer has been read, calls go by an older endpoint list
 
@@ -126,10 +126,12 @@
 
     Args:
         address: where discovery is.
+        spare: helps where no socket can be had; None for no help.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, spare: SpareSocket | None = None) -> None:
         self.address = address
+        self.spare = spare
         self.channel = DiscoveryChannel()
         self._connecting = asyncio.Lock()
 
@@ -191,7 +193,7 @@
     async def _connect(self) -> None:
         async with self._connecting:
             if not self.channel.is_usable():
-                self.channel = await connect(lambda _: DiscoveryChannel(), self.address)
+                self.channel = await connect(lambda _: DiscoveryChannel(), self.address, spare=self.spare)
 
     async def _try_connect(self, give_up_s: float) -> bool:
         """Connects, if that is not done; returns False where this machine could not, for a moment.
--- a/forwarder/discovery/notifier.py
+++ b/forwarder/discovery/notifier.py
@@ -17,6 +17,7 @@
 from forwarder.discovery.client import DiscoveryClient
 from forwarder.protocol.http1 import MAX_BODY_BYTES, BadResponseError
 from forwarder.runtime.failure_span import FailureSpan
+from forwarder.runtime.patient_socket import SpareSocket
 from forwarder.runtime.supervisor import Supervisor
 from forwarder.storage.messages import PendingNotice
 
@@ -67,12 +68,14 @@
     Attributes:
         client: the connection that is used first.
         posting: since when posts fail.
+        spare: a socket in reserve, for when the connection ends while no other can be had.
         connecting: since when the connection that is kept open cannot be had.
     """
 
     def __init__(self, address: Address, source: PendingNoticeSource, supervisor: Supervisor | None = None) -> None:
         self.address = address
-        self.client = DiscoveryClient(address)
+        self.spare = SpareSocket()
+        self.client = DiscoveryClient(address, self.spare)
         self.source = source
         self.supervisor = supervisor or Supervisor()
         self.posting = FailureSpan(log, "post notices")
@@ -113,6 +116,7 @@
                 self.connecting.failed(error or type(error).__name__)
             else:
                 self.connecting.worked()
+                self.spare.fill()
                 await client.channel.ended.wait()
             failures = 0 if loop.time() - opened_s > LASTING_S else failures + 1
             if failures and client is self.client:
@@ -123,7 +127,7 @@
         self._drop_posts()
         self.client.close()
         self.address = address
-        self.client = DiscoveryClient(address)
+        self.client = DiscoveryClient(address, self.spare)
         self._wanted.set()
 
     async def _run(self) -> None:
@@ -201,6 +205,7 @@
     def _post_succeeded(self, post: Post, took_s: float) -> None:
         """Keeps the connection that works, and repeats later posts only once they take longer than this one has."""
         self.posting.worked()
+        self.spare.fill()
         self._repost_s = min(max(FIRST_REPOST_S, 2 * took_s), MAX_REPOST_S)
         if post.client is not self.client:
             if all(other.client is not self.client for other in self._posts):
--- a/forwarder/runtime/patient_socket.py
+++ b/forwarder/runtime/patient_socket.py
@@ -6,6 +6,8 @@
 import errno
 import socket
 from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING, TypeVar
 
 from forwarder.config.config import Address
@@ -86,8 +88,40 @@
         return BlockingIOError(errno.EAGAIN, str(error))
 
 
+class SpareSocket:
+    """A socket in reserve, for a connection that must not wait until one can be had."""
+
+    def __init__(self) -> None:
+        self._spare: PatientSocket | None = None
+        self.fill()
+
+    def fill(self) -> None:
+        """Puts a socket in reserve, if there is none and one can be had."""
+        if self._spare is None:
+            with suppress(OSError):
+                self._spare = _new_socket(socket.AF_INET)
+
+    def make(self, family: int) -> PatientSocket:
+        """Returns a new socket, or the one in reserve where no other can be had.
+
+        Raises:
+            OSError: there is none in reserve either.
+        """
+        try:
+            return _new_socket(family)
+        except OSError:
+            spare = self._spare
+            if spare is None or spare.family != family:
+                raise
+            self._spare = None
+            return spare
+
+
 async def connect(
-    make_protocol: Callable[[PatientSocket], Made], address: Address, reserve: DescriptorReserve | None = None
+    make_protocol: Callable[[PatientSocket], Made],
+    address: Address,
+    reserve: DescriptorReserve | None = None,
+    spare: SpareSocket | None = None,
 ) -> Made:
     """Connects to an address, and returns the protocol of the connection.
 
@@ -95,12 +129,15 @@
         make_protocol: makes the protocol from the connection's socket.
         address: where to connect to.
         reserve: helps where the process has no descriptor left.
+        spare: helps where no socket can be had.
 
     Raises:
         OSError: no connection can be had.
     """
     loop = asyncio.get_running_loop()
-    sock = _make_socket(address) if reserve is None else reserve.lend(lambda: _make_socket(address))
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    make = partial(_new_socket if spare is None else spare.make, family)
+    sock = make() if reserve is None else reserve.lend(make)
     try:
         sock.setblocking(False)
         await loop.sock_connect(sock, (address.host.strip("[]"), address.port))
@@ -111,6 +148,5 @@
     return protocol
 
 
-def _make_socket(address: Address) -> PatientSocket:
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+def _new_socket(family: int) -> PatientSocket:
     return PatientSocket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)  # else asyncio sets no TCP_NODELAY
--- a/tests/runtime/test_notices_in_time.py
+++ b/tests/runtime/test_notices_in_time.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -108,6 +109,31 @@
     play(scene, tmp_path)
 
 
+@pytest.mark.parametrize("moves", [True, False], ids=["the platform moves", "its connection ends"])
+def test_ends_are_told_in_time_on_a_socket_in_reserve(tmp_path: Path, moves: bool) -> None:
+    """Found by the soak (seed 2205): SIGHUP moved the platform while no socket was to be had."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        await start_endpoint(platform, hang)
+        node = await start_shimmed(folder, platform)
+        due_s = await submit_all(node)
+        target = platform
+        if moves:
+            target = await Platform().start()
+            node.configure(discovery=f"127.0.0.1:{target.port}")
+        times = NoticeTimes(target)
+        await node.fail(Failure("socket", "ENFILE"))
+        if moves:
+            node.process.send_signal(signal.SIGHUP)
+        else:
+            await platform.end_connections()
+        await target.wait_until(lambda: len(target.notices) >= len(due_s))
+        late_s = {name: times.came_s[name] - due for name, due in due_s.items()}
+        assert max(late_s.values()) < LOST_AFTER_S
+
+    play(scene, tmp_path)
+
+
 @pytest.mark.parametrize("answers_after_s", [0.25, 0.6])
 def test_a_platform_that_answers_posts_slowly_is_heard(tmp_path: Path, answers_after_s: float) -> None:
     """Guards against posts that are given up before their answer, all of them, for as long as the platform is slow."""
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -84,6 +84,7 @@
         self.handler = handler
         self.requests: list[Request] = []
         self.closed = 0
+        self.writers: set[asyncio.StreamWriter] = set()
         self.port = 0
 
     async def start(self) -> Self:
@@ -92,6 +93,11 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    async def end_connections(self) -> None:
+        """Resets all connections, as a network or a crash does."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def wait_for_requests(self, count: int) -> list[Request]:
         """Waits until so many requests have come, and returns all of them."""
         await self.wait_until(lambda: len(self.requests) >= count)
@@ -99,6 +105,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serves one connection."""
+        self.writers.add(writer)
         try:
             while True:
                 first, headers, body = await read_message(reader)
@@ -115,6 +122,7 @@
             pass
         finally:
             self.closed += 1
+            self.writers.discard(writer)
             writer.close()
             await self.notify_all()
 
