Send nothing to a destination whose answer has come and cannot be read yet

What callors saw: while answers of endpoints could not be read (recv: ENOMEM, 2.2 s) calls went to a destination 0.4 to 0.5 s before the end of a wait that it had told 0.9 to 1.1 s before (wait, 3).

Cause: a wait counts from when its answer is written; the answer lay in the kernel, known to be there and not read, while earlier calls timed out and made room for others. Class: what has come and was not read counts as not there; the same as a list that lies unread.

Why it works: the check is asked as each call leaves, and what lies unread may be a wait.

--- a/forwarder/endpoints/call_checks.py
+++ b/forwarder/endpoints/call_checks.py
@@ -32,11 +32,14 @@
             is_listed: whether its endpoint may be called, at the address that it goes to.
         """
         now_us = self.clock()
-        route = RouteFacts(is_listed, self.in_flight.retry_after.until_us(call.limit_scope))
+        retry_after_until_us = self.in_flight.retry_after.until_us(call.limit_scope)
+        route = RouteFacts(is_listed, retry_after_until_us, self.in_flight.has_unread_answer(call.limit_scope))
         others = {key.message_id for key, other in self.in_flight.by_attempt.items() if other is not call}
         for item in list(call.open_items.values()):
-            if self._denial(item, route, now_us, others) is not None:
-                self.in_flight.end_item(call, item, CallResult(Outcome.NOT_SENT))
+            denial = self._denial(item, route, now_us, others)
+            if denial is not None:
+                is_local = denial is Denial.UNREAD_ANSWER
+                self.in_flight.end_item(call, item, CallResult(Outcome.LOCAL_FAILURE if is_local else Outcome.NOT_SENT))
         if not call.open_items:
             call.cancel_timers()
 
--- a/forwarder/endpoints/in_flight_calls.py
+++ b/forwarder/endpoints/in_flight_calls.py
@@ -7,7 +7,7 @@
 
 from forwarder.decisions.events import AttemptEnded, LoadReport
 from forwarder.decisions.outcomes import Outcome
-from forwarder.endpoints.call import AttemptKey, CallItem, CallResult, EndpointCall
+from forwarder.endpoints.call import AttemptKey, CallItem, CallResult, EndpointCall, LimitScopeKey
 from forwarder.endpoints.call_outcome import outcome_of_broken_answer, result_of_answer, results_of_batch
 from forwarder.endpoints.retry_after import RetryAfterTable
 from forwarder.protocol.http1 import ResponseReader, parse_load_report
@@ -50,6 +50,13 @@
         """Returns each call once."""
         return {id(call): call for call in self.by_attempt.values()}.values()
 
+    def has_unread_answer(self, limit_scope: LimitScopeKey) -> bool:
+        """Returns whether an answer of a limit scope has come that this machine cannot read just now."""
+        return any(
+            call.connection is not None and call.connection.sock.is_unreadable and call.limit_scope == limit_scope
+            for call in self.by_attempt.values()
+        )
+
     def start_timeout(self, call: EndpointCall) -> None:
         """Starts the time-out of a call anew, for those of its messages that are open.
 
--- a/forwarder/runtime/invariants.py
+++ b/forwarder/runtime/invariants.py
@@ -24,6 +24,7 @@
     NOT_RECORDED = "its record cannot be written"
     NOT_LISTED = "its endpoint may not be called any more"
     RETRY_AFTER = "its destination told a wait"
+    UNREAD_ANSWER = "an answer of its destination cannot be read just now"
     RESEND_WINDOW_OVER = "its window for a repeat is over"
     DEADLINE_OVER = "its time is over"
     ENDED = "its message has had its end"
@@ -54,6 +55,8 @@
     """Whether its endpoint may be called, at the address that the call was made for."""
     retry_after_until_us: int
     """Until when its limit scope is to be left alone."""
+    has_unread_answer: bool = False
+    """Whether an answer of its limit scope has come and cannot be read: it may tell a Retry-After."""
 
 
 def route_denial(attempt: AttemptFacts, route: RouteFacts, now_us: int) -> Denial | None:
@@ -62,6 +65,8 @@
         return Denial.NOT_LISTED
     if now_us < route.retry_after_until_us:
         return Denial.RETRY_AFTER
+    if route.has_unread_answer:
+        return Denial.UNREAD_ANSWER
     if now_us >= attempt.send_before_us:
         return Denial.RESEND_WINDOW_OVER
     return Denial.DEADLINE_OVER if now_us >= attempt.due_us else None
--- a/forwarder/runtime/patient_socket.py
+++ b/forwarder/runtime/patient_socket.py
@@ -32,6 +32,8 @@
     is_short_of_buffers = False
     """Whether the last send failed for want of memory or buffers, so that it says nothing about the peer."""
 
+    is_unreadable = False
+    """Whether something has come that could not be read for want of memory or buffers."""
     sent_bytes = 0
     """Bytes that the kernel has taken since this object was made."""
 
@@ -48,9 +50,12 @@
             OSError: the connection has failed.
         """
         try:
-            return super().recv(bufsize, flags)
+            data = super().recv(bufsize, flags)
         except OSError as error:
+            self.is_unreadable = error.errno in TRANSIENT_ERRORS
             raise self._to_be_retried(error) from None
+        self.is_unreadable = False
+        return data
 
     def recv_into(self, buffer: WriteableBuffer, nbytes: int = 0, flags: int = 0) -> int:
         """Reads into a buffer, as the base class does.
--- a/tests/endpoints/peers.py
+++ b/tests/endpoints/peers.py
@@ -31,6 +31,7 @@
     """The socket of a stand-in for a transport: it takes nothing at once, so that the transport is written to."""
 
     is_short_of_buffers = False
+    is_unreadable = False
 
     def send(self, data: bytes) -> int:
         raise BlockingIOError
--- a/tests/runtime/test_failing_send.py
+++ b/tests/runtime/test_failing_send.py
@@ -12,7 +12,7 @@
 from tests.load import SteadyLoad
 from tests.platforms import Platform
 from tests.scenes import play, received_ids, start_endpoint, start_shimmed
-from tests.sockets import OK, Answer, Request, always
+from tests.sockets import OK, PATIENCE, Answer, Request, always
 
 BEFORE_S = 0.5
 FAILING_S = 2.5
@@ -20,6 +20,7 @@
 """Service is back so soon after the end of a failure."""
 MAX_OPEN_MESSAGES = 1000
 PIECES = 6
+WAIT_S = 1.5
 PIECE_INTERVAL_S = 0.1
 
 
@@ -94,3 +95,47 @@
         assert "in outage" not in "".join(node.log)
 
     play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("error", ["ENOMEM", "ENOBUFS"])
+def test_a_wait_that_cannot_be_read_just_now_is_heeded(tmp_path: Path, error: str) -> None:
+    """Found by the soak (seed 3011): an answer lay unread, and others were sent to the destination that had told it."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        loop = asyncio.get_running_loop()
+        told_s: list[float] = []
+        came_s: list[float] = []
+
+        async def answer(request: Request) -> Answer:
+            name = request.headers["x-correlation-id"]
+            if name == "told" and not told_s:
+                told_s.append(loop.time())
+                return Answer(429, {"X-RateLimit-Wait-Ms": str(int(WAIT_S * 1000))})
+            if name.startswith("later"):
+                came_s.append(loop.time())
+            return OK
+
+        for name in ("s1", "s2"):
+            await start_endpoint(platform, answer, name)
+        node = await start_shimmed(folder, platform)
+        for number in range(20):  # the window grows
+            assert (await node.submit(f"before-{number}", "status"))[0] == 202
+        await node.fail(Failure("endpoint-recv", error))
+        for number in range(2):  # their answers lie unread too, until their time is over before that of the next
+            assert (await node.submit(f"first-{number}", "status"))[0] == 202
+        await asyncio.sleep(0.4)
+        assert (await node.submit("told", "status"))[0] == 202
+        async with asyncio.timeout(BACK_S):
+            while not told_s:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)  # calls that arrive within 0.1 s are let through (PROTOCOL)
+        for number in range(3):
+            assert (await node.submit(f"later-{number}", "status"))[0] == 202
+        await asyncio.sleep(WAIT_S / 2)
+        await node.fail()
+        async with asyncio.timeout(PATIENCE):
+            while len(came_s) < 3:
+                await asyncio.sleep(0.01)
+        assert min(came_s) > told_s[0] + WAIT_S - 0.05
+
+    play(scene, tmp_path)
--- a/tests/runtime/test_invariants.py
+++ b/tests/runtime/test_invariants.py
@@ -24,6 +24,7 @@
         (ATTEMPT, ROUTE, None),
         (ATTEMPT, replace(ROUTE, is_listed=False), Denial.NOT_LISTED),
         (ATTEMPT, replace(ROUTE, retry_after_until_us=NOW_US + 1), Denial.RETRY_AFTER),
+        (ATTEMPT, replace(ROUTE, has_unread_answer=True), Denial.UNREAD_ANSWER),
         (replace(ATTEMPT, send_before_us=NOW_US), ROUTE, Denial.RESEND_WINDOW_OVER),
         (replace(ATTEMPT, due_us=NOW_US), ROUTE, Denial.DEADLINE_OVER),
     ],
