--- a/review/standins/endpoint.py
+++ b/review/standins/endpoint.py
@@ -62,6 +62,9 @@
         await asyncio.sleep(self.service_s)
         if self.answer is not None and await self.answer(ids, is_batch, writer):
             return
+        if writer.is_closing():
+            self.record.note(f"{self.name}: the connection ended before the answer to {' '.join(ids)}")
+            return
         body = json.dumps([{"id": each, "state": "accepted"} for each in ids]).encode() if is_batch else b""
         writer.write(answer_bytes(200, "OK", body))
         await writer.drain()
