--- a/review/standins/forwarder.py
+++ b/review/standins/forwarder.py
@@ -16,6 +16,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_TIMEOUT_S = 20.0
+STARTED: list[asyncio.subprocess.Process] = []
+"""Every process that was started, so that none outlives the script."""
 ANSWER_TIMEOUT_S = 1.0
 
 
@@ -94,6 +96,15 @@
     }
 
 
+async def end_all() -> None:
+    """Ends every process that was started and still runs, and waits for it."""
+    for process in STARTED:
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+
+
 class Forwarder:
     """One forwarder: its folder, its configuration file and its process."""
 
@@ -154,6 +165,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", command, cwd=ROOT, env=env, stdout=log, stderr=log
             )
+        STARTED.append(self.process)
 
     async def is_up(self) -> bool:
         """Returns whether `GET /up` is answered with 200 at the clients' address."""
