Review: case 1, a class that goes and comes back makes messages lost

Cause: `check_complete` wants of every class the optional keys that the classes before had in common. When the only class left has `by_arrival`, a file that brings a class without it is refused whole, with discovery's new address. The platform's stand-in can move, the forwarder's can be given a new file.

--- a/review/standins/forwarder.py
+++ b/review/standins/forwarder.py
@@ -148,8 +148,7 @@
 
     async def spawn(self) -> None:
         """Starts the process."""
-        path = self.folder / "config.json"
-        path.write_text(json.dumps(self.config))
+        path = self.write_config()
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         env = {
             **os.environ,
@@ -167,6 +166,19 @@
             )
         STARTED.append(self.process)
 
+    def write_config(self) -> Path:
+        """Replaces the configuration file as a whole, and returns its path."""
+        path = self.folder / "config.json"
+        new_path = path.with_name("config.json.new")
+        new_path.write_text(json.dumps(self.config))
+        new_path.replace(path)
+        return path
+
+    def reload(self) -> None:
+        """Replaces the configuration file and sends SIGHUP."""
+        self.write_config()
+        self.signal(signal.SIGHUP)
+
     async def is_up(self) -> bool:
         """Returns whether `GET /up` is answered with 200 at the clients' address."""
         try:
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -9,6 +9,9 @@
 from standins.http import answer_bytes, read_http
 from standins.record import Record
 
+OLD_ADDRESS_CLOSES_S = 1.5
+"""After a move, open connections at the old address are closed after this time (TERMS, Reconfiguration)."""
+
 
 class Platform:
     """Answers the list and its watch at once, and notices with 204."""
@@ -23,12 +26,23 @@
         self.address = ""
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
+        """The connections that are open."""
 
     async def start(self) -> None:
         """Listens on a free port."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
 
+    async def move(self) -> None:
+        """Moves to another address (TERMS): the old one takes no new connection, and closes its open ones later."""
+        assert self._server is not None
+        self._server.close()
+        old = list(self._open)
+        await self.start()
+        asyncio.get_running_loop().call_later(OLD_ADDRESS_CLOSES_S, lambda: [writer.close() for writer in old])
+        self.record.note(f"discovery has moved to {self.address}")
+
     def list_endpoint(self, name: str, address: str, kind: str, destination: int, health: str = "up") -> None:
         """Adds an endpoint to the list, or changes its entry."""
         self.version += 1
@@ -52,6 +66,7 @@
         return {"seq": self.version, "whole": True, "hosts": listed}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._open.add(writer)
         try:
             while (request := await read_http(reader)) is not None:
                 method, target, _ = request.first_line.split(" ")
@@ -65,6 +80,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._open.discard(writer)
             writer.close()
 
     def _take_notices(self, body: bytes) -> None:
