--- a/review/standins/forwarder.py
+++ b/review/standins/forwarder.py
@@ -21,11 +21,11 @@
 ANSWER_TIMEOUT_S = 1.0
 
 
-def free_address() -> str:
-    """Returns a loopback address with a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return "127.0.0.1:%d" % sock.getsockname()[1]
+def free_addresses(count: int) -> list[str]:
+    """Returns distinct loopback addresses with ports that are free now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(count)]
+        return ["127.0.0.1:%d" % each.getsockname()[1] for each in sockets]
 
 
 def settings(batch: int = 1, key_rest_us: int = 0) -> dict[str, object]:
@@ -112,12 +112,12 @@
         self.folder = folder
         self.record = record
         self.state = folder / "state"
-        self.listen = free_address()
+        self.listen, control = free_addresses(2)
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3, **limits}
         self.config = {
             "name": "n0",
             "listen": self.listen,
-            "control": free_address(),
+            "control": control,
             "discovery": discovery,
             "seed": "8c1f30d27a5be964",
             "limits": self.limits,
