--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -54,6 +54,7 @@
                 if self._streams is None:
                     self._streams = await asyncio.open_connection(*self.address)
                 reader, writer = self._streams
+                handed.due_s = self.record.now_s() + time_left_s  # counts from when it is sent (PROTOCOL)
                 writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
                 answer = await read_http(reader)
                 if answer is not None:
