--- a/forwarder/config/config.py
+++ b/forwarder/config/config.py
@@ -15,12 +15,12 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from pathlib import Path
-from typing import Any
 
+from forwarder.config.required_keys import check_complete, common_part
 from forwarder.decisions.events import EndpointEntry
 from forwarder.decisions.settings import Settings
 from forwarder.errors import ForwarderError
-from forwarder.protocol.checked_fields import MalformedInputError, require_field
+from forwarder.protocol.checked_fields import JsonObject, MalformedInputError, require_field
 from forwarder.protocol.settings_format import parse_endpoint_entry, parse_settings
 
 TRANSIENT_ERRORS = frozenset({errno.EIO, errno.ENFILE, errno.EMFILE, errno.ENOMEM, errno.EINTR, errno.EAGAIN})
@@ -31,9 +31,6 @@
 DEFAULT_DISK_MB = 3
 BYTES_PER_MB = 1_000_000
 
-JsonObject = dict[str, Any]
-"""A decoded JSON object."""
-
 
 class ConfigError(ForwarderError):
     """The configuration is missing or invalid; the text is one line."""
@@ -131,6 +128,8 @@
     """The fields of an endpoint's load report."""
     document: JsonObject
     """The file as decoded from JSON."""
+    common_document: object
+    """What this file and all files accepted before it have in common (`required_keys.common_part`)."""
 
 
 def parse_address(text: object) -> Address:
@@ -181,49 +180,12 @@
     )
 
 
-def check_complete(before: object, after: object, path: str) -> None:
-    """Checks that a reloaded file still has all of its previous keys, with values of the same types.
-
-    In a list, each entry must have the keys that all previous entries had in common.
-
-    Raises:
-        MalformedInputError: a key is missing or has another type; the text names its path within the file.
-    """
-    _check_same_kind(before, after, path)
-    if isinstance(before, dict) and isinstance(after, dict):
-        for key in before:
-            if key not in after:
-                raise MalformedInputError(f"{path} has no {key!r}")
-            check_complete(before[key], after[key], f"{path}.{key}")
-    elif isinstance(before, list) and isinstance(after, list):
-        common = _common_entries(before)
-        for index, entry in enumerate(after):
-            check_complete(common, entry, f"{path}[{index}]")
-
-
-def _common_entries(values: list[object]) -> JsonObject | None:
-    """Returns the first object reduced to the keys that all objects have; None unless all values are objects."""
-    objects = [value for value in values if isinstance(value, dict)]
-    if not objects or len(objects) < len(values):
-        return None
-    return {key: value for key, value in objects[0].items() if all(key in other for other in objects)}
-
-
-def _check_same_kind(before: object, after: object, path: str) -> None:
-    kinds: tuple[type | tuple[type, ...], ...] = (bool, (int, float), str, dict, list)  # bool is a subclass of int
-    for kind in kinds:
-        if isinstance(before, kind):
-            if not isinstance(after, kind) or (isinstance(after, bool) and kind is not bool):
-                raise MalformedInputError(f"{path} is {after!r:.40}, where it was {before!r:.40}")
-            return
-
-
 def load_config(environ: Mapping[str, str] = os.environ, before: Config | None = None) -> Config:
     """Reads the configuration. Values from the environment take precedence over those in the file.
 
     Args:
         environ: the environment.
-        before: the previous configuration on a reload. The file must then have all of its previous keys, and its
+        before: the previous configuration on a reload. The file must then be complete (`required_keys`), and its
             address of discovery takes precedence, because the environment of a running process cannot change.
 
     Raises:
@@ -236,10 +198,10 @@
     document = _read_document(path)
     try:
         if before is not None:
-            check_complete(before.document, document, "the file")
+            check_complete(before.common_document, document)
             if not document["settings"]["services"]:
                 raise MalformedInputError("settings.services is empty")
-        return _parse_document(document, environ, before is None)
+        return _parse_document(document, environ, before)
     except (MalformedInputError, ValueError, TypeError, AttributeError) as error:
         text = " ".join(str(error).split())
         raise ConfigError(f"bad configuration in {path}: {text}") from None
@@ -255,7 +217,7 @@
     return document
 
 
-def _parse_document(document: JsonObject, environ: Mapping[str, str], is_first: bool) -> Config:
+def _parse_document(document: JsonObject, environ: Mapping[str, str], before: Config | None) -> Config:
     limits = document.get("limits") or {}
     settings = require_field(document, "settings", dict)
     state_folder = environ.get("LB_STATE")
@@ -266,7 +228,7 @@
         name=environ.get("LB_NAME") or require_field(document, "name", str),
         listen=parse_address(environ.get("LB_LISTEN") or require_field(document, "listen", str)),
         discovery=parse_address(
-            (is_first and environ.get("LB_DISCOVERY")) or require_field(document, "discovery", str)
+            (before is None and environ.get("LB_DISCOVERY")) or require_field(document, "discovery", str)
         ),
         admin=None if admin is None else parse_address(admin),
         state_folder=Path(state_folder),
@@ -278,4 +240,5 @@
         settings=parse_settings(settings),
         report_fields=tuple((settings.get("telemetry") or {}).get("fields") or ()),
         document=document,
+        common_document=common_part([document] if before is None else [before.common_document, document]),
     )
--- a/forwarder/runtime/reload.py
+++ b/forwarder/runtime/reload.py
@@ -56,6 +56,7 @@
             settings=loaded.settings,
             report_fields=loaded.report_fields,
             document=loaded.document,
+            common_document=loaded.common_document,
         )
         runtime.intake.settings = loaded.settings
         for extension in runtime.extensions:
--- a/tests/config/test_extensions_file.py
+++ b/tests/config/test_extensions_file.py
@@ -34,6 +34,7 @@
     settings(),
     (),
     {},
+    {},
 )
 VALID_TABLE = '[streaming]\nlisten = "127.0.0.1:3100"\nmemory_bytes = 1_000_000\n'
 
--- a/tests/runtime/test_reload.py
+++ b/tests/runtime/test_reload.py
@@ -14,7 +14,7 @@
 from tests.nodes import SETTINGS, Node
 from tests.platforms import Platform
 from tests.scenes import play, received_ids, start_endpoint, start_node
-from tests.sockets import OK, PATIENCE, always, hang
+from tests.sockets import OK, PATIENCE, Answer, always, hang
 
 
 async def reload(node: Node, text: str) -> None:
@@ -99,3 +99,26 @@
         assert (await node.submit("m", "strict"))[0] == 202
 
     play(scene, tmp_path)
+
+
+def test_notices_reach_a_platform_that_moved_while_a_class_without_an_optional_key_came_back(tmp_path: Path) -> None:
+    """Guards against lost messages: the file was refused, so that notices went to the platform's old address."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        await start_endpoint(platform, always(Answer(500)))
+        node = await start_node(folder, platform)
+        without_key, with_key = SETTINGS["services"][3], SETTINGS["services"][2]
+        assert "by_arrival" in with_key
+        assert "by_arrival" not in without_key
+        for services in ([with_key], [without_key, with_key]):
+            moved = await Platform().start()
+            moved.version, moved.endpoints = platform.version, platform.endpoints
+            node.configure(discovery=f"127.0.0.1:{moved.port}", settings={**SETTINGS, "services": services})
+            await reload(node, "the configuration was read again")
+        platform.server.close()
+        await platform.end_connections()
+        for name, class_name in (("a", "turn"), ("b", "pay")):
+            assert (await node.submit(name, class_name))[0] == 202
+            assert (await moved.wait_for_notice(name))["state"] == "failed"
+
+    play(scene, tmp_path)
