--- a/forwarder/endpoints/connection.py
+++ b/forwarder/endpoints/connection.py
@@ -241,7 +241,7 @@
         if self.reader.keep_alive and self.given_up is None and not self.is_closing():
             self.owner.keep_idle(self, call.endpoint)
         else:
-            self.close("not kept alive by the endpoint")
+            self.close(UNREQUESTED_DATA if self.reader.has_surplus else "not kept alive by the endpoint")
 
     def _reset_on_close(self, reset: bool) -> None:
         sock = None if self.transport is None else self.transport.get_extra_info("socket")
--- a/forwarder/protocol/http1.py
+++ b/forwarder/protocol/http1.py
@@ -38,8 +38,9 @@
         status: the status code; 0 until the headers are complete.
         headers: the headers received so far.
         begun: whether any byte of the answer has been received.
-        complete: whether the whole answer has been received.
+        complete: whether the whole answer has been received. It does not change any more then.
         keep_alive: whether the connection may carry another request; known when the answer is complete.
+        has_surplus: whether bytes were received that follow the complete answer and belong to no request.
     """
 
     def __init__(self, max_bytes: int = MAX_BODY_BYTES) -> None:
@@ -54,6 +55,7 @@
         self.begun = False
         self.complete = False
         self.keep_alive = False
+        self.has_surplus = False
         self._first_bytes = b""
         self._size = 0
         self._body_parts: list[bytes] = []
@@ -73,17 +75,32 @@
         Raises:
             BadResponseError: the bytes are not valid HTTP, or the answer is too large.
         """
+        if self.complete:
+            self._note_surplus()
+            return
         self.begun = True
         if len(self._first_bytes) < MAX_FIRST_LINE_BYTES:
             self._first_bytes += data[:MAX_FIRST_LINE_BYTES]
+        # The parser does not tell where an answer ends. If it ends before the last byte, that byte is surplus.
+        self._parse(memoryview(data)[:-1])
+        if self.complete:
+            self._note_surplus()
+        else:
+            self._parse(data[-1:])
+        if self._size > self.max_bytes:
+            raise BadResponseError("the answer is too large")
+
+    def _parse(self, data: bytes | memoryview) -> None:
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.complete:
                 raise BadResponseError(str(error)) from None
             self.keep_alive = False
-        if self._size > self.max_bytes:
-            raise BadResponseError("the answer is too large")
+
+    def _note_surplus(self) -> None:
+        self.has_surplus = True
+        self.keep_alive = False
 
     def end(self) -> None:
         """Handles an orderly end of the connection, which completes an answer of unstated length."""
@@ -95,30 +112,37 @@
         """Returns whether the status line is complete and has status 200, even if the rest is malformed."""
         return self.status == 200 or FIRST_LINE_OK.match(self._first_bytes) is not None
 
-    # Called by the parser
+    # Called by the parser, also for what follows a complete answer
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; called by the parser."""
+        if self.complete:
+            return
         self._size += len(name) + len(value)
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Stores the status; called by the parser."""
-        self.status = self.parser.get_status_code()
+        if not self.complete:
+            self.status = self.parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body; called by the parser."""
+        if self.complete:
+            return
         self._size += len(body)
         if self._size <= self.max_bytes:
             self._body_parts.append(body)
 
     def on_message_complete(self) -> None:
         """Marks the answer as complete, unless it is an interim one; called by the parser."""
+        if self.complete:
+            return
         if 100 <= self.status < 200:
             self.status = 0
             self.headers = {}
             return
-        self.keep_alive = self.parser.should_keep_alive() and not self.complete
+        self.keep_alive = self.parser.should_keep_alive()
         self.complete = True
 
 
