--- a/forwarder/endpoints/connection.py
+++ b/forwarder/endpoints/connection.py
@@ -87,6 +87,8 @@
         self.owner = owner
         self.sock = sock
         self.idle_since_us = 0
+        self.has_carried_call = False
+        """Whether an answer was read from it, which more bytes may follow."""
         self.current_call = call
         self.given_up: Outcome | None = None
         self.received = bytearray(received)
@@ -237,6 +239,7 @@
         self.current_call = None
         call.connection = None
         self._answered = True
+        self.has_carried_call = True
         self.owner.in_flight.answer_ended(call, self.reader)
         if self.reader.keep_alive and self.given_up is None and not self.is_closing():
             self.owner.keep_idle(self, call.endpoint)
--- a/forwarder/endpoints/idle_connections.py
+++ b/forwarder/endpoints/idle_connections.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from forwarder.endpoints.connection import EndpointConnection
 from forwarder.runtime.supervisor import RepeatingTimer, Supervisor
+from forwarder.units import SECOND_US
 
 SWEEP_INTERVAL_S = 0.2
+REUSE_DELAY_US = 5_000
+"""How long a connection rests after an answer: bytes that follow the answer then arrive before the next call."""
+REUSE_MARGIN_S = 0.001  # the event loop's timers may fire slightly early
 MAX_IDLE_PER_ENDPOINT = 4  # some endpoints accept few connections, including idle ones
 
 
@@ -28,6 +34,8 @@
         self.timeout_us = 0
         self.by_endpoint: dict[int, list[EndpointConnection]] = {}
         self.sweep_timer: RepeatingTimer | None = None
+        self._waiting: Counter[int] = Counter()
+        """Number of calls that wait for a resting connection, by endpoint."""
 
     def add(self, connection: EndpointConnection, endpoint: int) -> None:
         """Keeps a connection, or closes it if the endpoint already has enough idle ones."""
@@ -45,9 +53,27 @@
         self.by_endpoint.setdefault(endpoint, []).append(connection)
 
     def pop(self, endpoint: int) -> EndpointConnection | None:
-        """Removes and returns the most recently used connection to an endpoint; None if there is none."""
-        idle = self.by_endpoint.get(endpoint)
-        return idle.pop() if idle else None
+        """Removes and returns the most recently used connection to an endpoint that does not rest; None without one."""
+        idle = self.by_endpoint.get(endpoint, [])
+        rested = [index for index, connection in enumerate(idle) if not self._is_resting(connection)]
+        return idle.pop(rested[-1]) if rested else None
+
+    def _is_resting(self, connection: EndpointConnection) -> bool:
+        return connection.has_carried_call and self.clock() - connection.idle_since_us < REUSE_DELAY_US
+
+    def has_resting(self, endpoint: int) -> bool:
+        """Returns whether there are more resting connections to an endpoint than calls that wait for one."""
+        resting = [each for each in self.by_endpoint.get(endpoint, ()) if self._is_resting(each)]
+        return len(resting) > self._waiting[endpoint]
+
+    async def rest(self, endpoint: int) -> None:
+        """Waits until the connections to an endpoint that are resting now may be used."""
+        self._waiting[endpoint] += 1
+        try:
+            await asyncio.sleep(REUSE_DELAY_US / SECOND_US + REUSE_MARGIN_S)
+        finally:
+            self._waiting[endpoint] -= 1
+            self._waiting += Counter()  # drops the endpoints without waiting calls
 
     def remove(self, connection: EndpointConnection) -> None:
         """Removes a connection if it is present."""
--- a/forwarder/endpoints/pool.py
+++ b/forwarder/endpoints/pool.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from functools import partial
+from typing import Any
 
 from forwarder.config.config import Address
 from forwarder.decisions.outcomes import Outcome
@@ -79,7 +80,8 @@
         self.connections: set[EndpointConnection] = set()
         self.descriptor_reserve: DescriptorReserve | None = None
         self.idle = IdleConnections(clock, self.supervisor)
-        self._connecting: set[asyncio.Task[None]] = set()
+        self._opening: set[asyncio.Task[None]] = set()
+        """The tasks that find a connection for a call."""
         self.apply_settings(report_fields, idle_timeout_us, connect_timeout_us)
 
     @property
@@ -123,13 +125,24 @@
         self._end_denied(call, address)
         if not call.open_items or self._send_on_idle(call):
             return
-        if len(self.connections) + len(self._connecting) >= self.max_connections and not self.idle.close_longest_idle():
-            self.reasons.note(Subject.HELD_BACK, "call: too many connections to endpoints", call.items[0].id)
-            self.finish(call, CallResult(Outcome.LOCAL_FAILURE))
-            return
-        task = asyncio.get_running_loop().create_task(self._connect_guarded(call, address))
-        self._connecting.add(task)
-        task.add_done_callback(self._connecting.discard)
+        if self.idle.has_resting(call.endpoint):
+            self._run(call, "wait for a connection", self._wait_and_send(call, address))
+        elif self._has_room(call):
+            self._run(call, "connect", self._connect_and_send(call, address))
+
+    def _has_room(self, call: EndpointCall) -> bool:
+        """Returns whether one more connection may be opened, and holds the call back if not."""
+        if len(self.connections) + len(self._opening) < self.max_connections or self.idle.close_longest_idle():
+            return True
+        self.reasons.note(Subject.HELD_BACK, "call: too many connections to endpoints", call.items[0].id)
+        self.finish(call, CallResult(Outcome.LOCAL_FAILURE))
+        return False
+
+    def _run(self, call: EndpointCall, name: str, step: Coroutine[Any, Any, None]) -> None:
+        """Runs a step that finds a connection for a call."""
+        task = asyncio.get_running_loop().create_task(self._run_guarded(call, name, step))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
 
     def cancel(self, message_id: str, attempt: int) -> None:
         """Gives up an attempt, if it has not ended."""
@@ -157,11 +170,18 @@
         self.reasons.note(Subject.HELD_BACK, "call: this machine could not send it", call.items[0].id)
         self.finish(call, CallResult(Outcome.LOCAL_FAILURE))
 
-    async def _connect_guarded(self, call: EndpointCall, address: Address) -> None:
-        """Connects and sends a call; an unexpected error ends the call, so that its slot becomes free."""
-        if not await self.supervisor.guarded("connect", self._connect_and_send(call, address)):
+    async def _run_guarded(self, call: EndpointCall, name: str, step: Coroutine[Any, Any, None]) -> None:
+        """Runs a step of a call; an unexpected error ends the call, so that its slot becomes free."""
+        if not await self.supervisor.guarded(name, step):
             self.finish(call, CallResult(Outcome.LOCAL_FAILURE if call.connection is None else Outcome.RESET))
 
+    async def _wait_and_send(self, call: EndpointCall, address: Address) -> None:
+        """Sends a call on a connection that rests now, or on a new one if that connection is lost by then."""
+        await self.idle.rest(call.endpoint)
+        self._end_denied(call, address)  # the list or a Retry-After may have changed, or a deadline passed
+        if call.open_items and not self._send_on_idle(call) and self._has_room(call):
+            await self._connect_and_send(call, address)
+
     async def _connect_and_send(self, call: EndpointCall, address: Address) -> None:
         started_us = self.clock()
         timeout_us = min(self.connect_timeout_us, call.timeout_at_us - started_us)
@@ -277,6 +297,7 @@
             OSError: the connection cannot be used.
         """
         connection = await self._attach(sock)
+        connection.has_carried_call = True
         if not connection.is_closing():
             self.keep_idle(connection, endpoint)
             connection.idle_since_us = idle_since_us
--- a/tests/endpoints/test_idle_connections.py
+++ b/tests/endpoints/test_idle_connections.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from forwarder.endpoints.connection import EndpointConnection
-from forwarder.endpoints.idle_connections import MAX_IDLE_PER_ENDPOINT, IdleConnections
+from forwarder.endpoints.idle_connections import MAX_IDLE_PER_ENDPOINT, REUSE_DELAY_US, IdleConnections
 from forwarder.runtime.supervisor import Supervisor
 from tests.endpoints.peers import FullSocket, HalfWrittenTransport, make_pool
 
@@ -47,6 +47,42 @@
     asyncio.run(scene())
 
 
+def test_a_connection_rests_after_an_answer_and_not_before_its_first_call() -> None:
+    async def scene() -> None:
+        now_us = [0]
+        idle = make_idle_connections(now_us)
+        answered, new = make_connection(), make_connection()
+        answered.has_carried_call = True
+        idle.add(new, 1)
+        idle.add(answered, 1)
+
+        assert idle.has_resting(1)
+        assert [idle.pop(1), idle.pop(1)] == [new, None]
+        now_us[0] = REUSE_DELAY_US - 1
+        assert idle.pop(1) is None
+        now_us[0] = REUSE_DELAY_US
+        assert not idle.has_resting(1)
+        assert idle.pop(1) is answered
+
+    asyncio.run(scene())
+
+
+def test_no_more_calls_wait_than_connections_rest() -> None:
+    async def scene() -> None:
+        idle = make_idle_connections([0])
+        connection = make_connection()
+        connection.has_carried_call = True
+        idle.add(connection, 1)
+
+        waiting = asyncio.create_task(idle.rest(1))
+        await asyncio.sleep(0)
+        assert not idle.has_resting(1)
+        await waiting
+        assert idle.has_resting(1)
+
+    asyncio.run(scene())
+
+
 def test_a_limited_number_of_connections_is_kept_for_each_endpoint() -> None:
     async def scene() -> None:
         idle = make_idle_connections([0])
--- a/tests/endpoints/test_surplus_bytes.py
+++ b/tests/endpoints/test_surplus_bytes.py
@@ -4,15 +4,18 @@
 
 import asyncio
 import json
+import os
 import socket
 
 import pytest
 
+from forwarder.clients.listener import fileno
 from forwarder.decisions.events import AttemptEnded
 from forwarder.decisions.outcomes import Outcome
+from forwarder.endpoints import idle_connections
 from forwarder.endpoints.call import CallItem, EndpointCall, LimitScopeKey
 from forwarder.endpoints.pool import ConnectionPool
-from tests.endpoints.peers import OK_ANSWER, SocketEndpoint
+from tests.endpoints.peers import OK_ANSWER, SocketEndpoint, make_call
 from tests.engine_scene import TIME_LEFT_US, play_with_platform
 from tests.platforms import Platform
 
@@ -47,6 +50,12 @@
     return sock
 
 
+@pytest.fixture
+def long_rest(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lets connections rest so long that a busy machine does not start the next call after it."""
+    monkeypatch.setattr(idle_connections, "REUSE_DELAY_US", 200_000)
+
+
 ANSWERS = [
     (["a"], OK_ANSWER, Outcome.DELIVERED),
     (["a"], REJECTION, Outcome.REJECTED),
@@ -89,3 +98,156 @@
         pool.close()
 
     play_with_platform(scene)
+
+
+def start_next_when_ended(endpoint: SocketEndpoint, ends: list[AttemptEnded]) -> ConnectionPool:
+    """Returns a pool that starts the call `next` in the moment in which the first attempt ends."""
+    pool = endpoint.pool(ends)
+
+    def end(event: AttemptEnded) -> None:
+        ends.append(event)
+        if len(ends) == 1:
+            asyncio.get_running_loop().call_soon(pool.start, make_call(pool.clock, "next"))
+
+    pool.in_flight.sink = end
+    return pool
+
+
+@pytest.mark.usefixtures("long_rest")
+@pytest.mark.parametrize("moment", ["at once", "after the next call is chosen"])
+@pytest.mark.parametrize("surplus", [OK_ANSWER, REJECTION, NOISE, b""], ids=["200", "429", "noise", "an end"])
+def test_a_call_that_is_chosen_at_once_gets_no_bytes_of_the_call_before(surplus: bytes, moment: str) -> None:
+    """Guards against shared bytes: what followed an answer in a later segment was read as that of the next call."""
+
+    async def scene(_: Platform) -> None:
+        ends: list[AttemptEnded] = []
+        endpoint = SocketEndpoint()
+        pool = start_next_when_ended(endpoint, ends)
+        first = await start_call(endpoint, pool, "first")
+        first.send(OK_ANSWER)
+        if moment == "after the next call is chosen":
+            await until_ended(ends, 1)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        if surplus:
+            first.send(surplus)
+        else:
+            first.shutdown(socket.SHUT_WR)
+        second, _ = await asyncio.get_running_loop().sock_accept(endpoint.listener)
+        second.setblocking(False)
+        assert b"X-Correlation-Id: next" in await endpoint.request(second)
+        assert len(ends) == 1
+        second.send(ERROR)
+        await until_ended(ends, 2)
+        assert [end.outcome for end in ends] == [Outcome.DELIVERED, Outcome.FAILED]
+        pool.close()
+
+    play_with_platform(scene)
+
+
+@pytest.mark.usefixtures("long_rest")
+def test_a_call_that_is_chosen_at_once_uses_the_connection_of_the_call_before() -> None:
+    async def scene(_: Platform) -> None:
+        ends: list[AttemptEnded] = []
+        endpoint = SocketEndpoint()
+        pool = start_next_when_ended(endpoint, ends)
+        first = await start_call(endpoint, pool, "first")
+        first.send(OK_ANSWER)
+        assert b"X-Correlation-Id: next" in await endpoint.request(first)
+        first.send(ERROR)
+        await until_ended(ends, 2)
+        assert [end.outcome for end in ends] == [Outcome.DELIVERED, Outcome.FAILED]
+        assert len(pool.connections) == 1
+        pool.close()
+
+    play_with_platform(scene)
+
+
+@pytest.mark.usefixtures("long_rest")
+def test_calls_for_which_no_connection_rests_open_their_own_at_once() -> None:
+    async def scene(_: Platform) -> None:
+        ends: list[AttemptEnded] = []
+        endpoint = SocketEndpoint()
+        pool = endpoint.pool(ends)
+        first = await start_call(endpoint, pool, "first")
+        first.send(OK_ANSWER)
+        await until_ended(ends, 1)
+        for message_id in "ab":
+            pool.start(make_call(pool.clock, message_id))
+        second, _ = await asyncio.get_running_loop().sock_accept(endpoint.listener)
+        second.setblocking(False)
+        assert b"X-Correlation-Id: b" in await endpoint.request(second)
+        assert b"X-Correlation-Id: a" in await endpoint.request(first)
+        pool.close()
+
+    play_with_platform(scene)
+
+
+@pytest.mark.usefixtures("long_rest")
+def test_a_call_that_waits_for_a_connection_can_be_given_up() -> None:
+    async def scene(_: Platform) -> None:
+        ends: list[AttemptEnded] = []
+        endpoint = SocketEndpoint()
+        pool = endpoint.pool(ends)
+        first = await start_call(endpoint, pool, "first")
+        first.send(OK_ANSWER)
+        await until_ended(ends, 1)
+        pool.start(make_call(pool.clock, "next"))
+        pool.cancel("next", 0)
+        await asyncio.sleep(0.3)
+        assert [end.outcome for end in ends] == [Outcome.DELIVERED, Outcome.NO_CONNECTION]
+        with pytest.raises(BlockingIOError):
+            first.recv(1)
+        assert not pool.calls_in_flight
+        pool.close()
+
+    play_with_platform(scene)
+
+
+@pytest.mark.usefixtures("long_rest")
+@pytest.mark.parametrize("arrival", ["read before", "waits in the kernel", "arrives after"])
+def test_surplus_bytes_at_a_hand_over_reach_no_call(arrival: str) -> None:
+    """An answer and what follows it, or an idle connection with such bytes, pass to another process."""
+
+    async def scene(_: Platform) -> None:
+        endpoint = SocketEndpoint()
+        old_ends: list[AttemptEnded] = []
+        old = endpoint.pool(old_ends)
+        idle_sock = await start_call(endpoint, old, "idle")
+        busy_sock = await start_call(endpoint, old, "busy")
+        idle_sock.send(OK_ANSWER)
+        await until_ended(old_ends, 1)
+        if arrival == "read before":
+            busy_sock.send(OK_ANSWER[:20])
+            await asyncio.sleep(0.02)
+        record, connections = old.hand_over()
+        sockets = [socket.socket(fileno=os.dup(fileno(each.transport))) for each in connections]
+        for each in connections:
+            assert each.transport is not None
+            each.transport.pause_reading()  # the process that hands over reads no more
+        busy_sock.send((OK_ANSWER[20:] if arrival == "read before" else OK_ANSWER) + REJECTION)
+        if arrival != "arrives after":
+            idle_sock.send(REJECTION)
+
+        ends: list[AttemptEnded] = []
+        new = endpoint.pool(ends)
+        call = record.calls[0]
+        busy = make_call(new.clock, "busy")
+        await new.adopt(busy, sockets[call.connection], call.received)
+        await new.adopt_idle(1, sockets[record.idle[0].connection], new.clock())
+        new.start(make_call(new.clock, "next"))
+        if arrival == "arrives after":
+            idle_sock.send(REJECTION)
+        while True:
+            next_sock, _ = await asyncio.get_running_loop().sock_accept(endpoint.listener)
+            next_sock.setblocking(False)
+            if b"X-Correlation-Id: next" in await endpoint.request(next_sock):
+                break
+        next_sock.send(ERROR)
+        await until_ended(ends, 2)
+        outcomes = {end.message_id: end.outcome for end in ends}
+        assert outcomes == {"busy": Outcome.DELIVERED, "next": Outcome.FAILED}
+        new.close()
+        old.close()
+
+    play_with_platform(scene)
