--- a/forwarder/discovery/client.py
+++ b/forwarder/discovery/client.py
@@ -12,10 +12,15 @@
 from forwarder.runtime.retrying_socket import RetryingSocket, SpareSocket, connect
 
 RECONNECT_PAUSES_S = (0.0, 0.02, 0.05)  # short: until an answer has been read, calls use an older endpoint list
+REUSE_DELAY_S = 0.005
+"""How long the connection rests after an answer: bytes that follow the answer then arrive before the next request."""
 
 
 class DiscoveryChannel(asyncio.Protocol):
-    """One connection to discovery, with at most one request on it."""
+    """One connection to discovery, with at most one request on it.
+
+    Bytes that arrive while no answer is awaited belong to no request; the connection is closed then.
+    """
 
     def __init__(self) -> None:
         self.reader = ResponseReader(MAX_ENDPOINT_LIST_BYTES)
@@ -24,6 +29,8 @@
         """Done when the answer to the request is complete; None if no request is under way."""
         self.ended = asyncio.Event()
         """Set when the connection has ended."""
+        self._rests_until_s = 0.0
+        """Time of the loop's clock until which no request is made."""
 
     # Called by the event loop
 
@@ -34,6 +41,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the reader; called by the event loop."""
+        if self.answer is None or self.answer.done():
+            self.close()
+            return
         try:
             self.reader.feed(data)
         except BadResponseError as error:
@@ -41,6 +51,7 @@
             self.close()
             return
         if self.reader.complete:
+            self.rest()
             self._end_request(None)
 
     def eof_received(self) -> bool:
@@ -78,10 +89,12 @@
             ConnectionError: the connection ended before the answer was complete.
             BadResponseError: the answer is malformed or too large.
         """
-        if self.transport is None:
-            raise ConnectionResetError("the connection ended")
-        self.reader.reset()
         loop = asyncio.get_running_loop()
+        await asyncio.sleep(min(self._rests_until_s, deadline_s) - loop.time())
+        if self.transport is None or self._has_input():
+            self.close()
+            raise ConnectionResetError("the connection ended, or brought bytes that nobody asked for")
+        self.reader.reset()
         self.answer = answer = loop.create_future()
         self.transport.write(data)
         try:
@@ -95,6 +108,10 @@
             self.close()
         return self.reader
 
+    def rest(self) -> None:
+        """Delays the next request, so that bytes that follow the last answer arrive before it."""
+        self._rests_until_s = asyncio.get_running_loop().time() + REUSE_DELAY_S
+
     def is_usable(self) -> bool:
         """Returns whether a request may be made on this connection."""
         return self.transport is not None and not self.transport.is_closing()
@@ -103,7 +120,11 @@
         """Returns whether part of an answer has arrived that the requester has not processed yet."""
         if self.answer is None:
             return False
-        return self.answer.done() or (self.is_usable() and bool(descriptors_with_input([self.transport])))
+        return self.answer.done() or self._has_input()
+
+    def _has_input(self) -> bool:
+        """Returns whether bytes or an end of the connection wait in the kernel."""
+        return self.is_usable() and bool(descriptors_with_input([self.transport]))
 
     def close(self) -> None:
         """Closes the connection at once."""
@@ -181,6 +202,7 @@
         sock.setblocking(False)
         loop = asyncio.get_running_loop()
         _, self.channel = await loop.create_connection(DiscoveryChannel, sock=RetryingSocket.of(sock))
+        self.channel.rest()  # the previous process may have read an answer just now
 
     async def connect(self, timeout_s: float) -> None:
         """Opens the connection if it is not open, so that the next request need not open it.
