--- a/forwarder/__main__.py
+++ b/forwarder/__main__.py
@@ -108,9 +108,9 @@
     engine = await ownership.obtain(_make_engine)
     loop.add_signal_handler(signal.SIGTERM, engine.shutdown.start)
     loop.add_signal_handler(signal.SIGINT, engine.shutdown.start)
-    loop.add_signal_handler(signal.SIGHUP, engine.reloader.reload)
+    loop.add_signal_handler(signal.SIGHUP, engine.reloader.request)
     if early_sighups:
-        loop.call_soon(engine.reloader.reload)
+        engine.reloader.request()
     gc.freeze()  # objects made during the start live on; the garbage collector need not scan them
     try:
         await engine.run()
--- a/forwarder/runtime/reload.py
+++ b/forwarder/runtime/reload.py
@@ -30,6 +30,17 @@
     def __init__(self, runtime: Runtime) -> None:
         self.runtime = runtime
         self._retry: asyncio.TimerHandle | None = None
+        self._is_requested = False
+
+    def request(self) -> None:
+        """Reads the file in the event loop's next iteration, once for all requests until then."""
+        if not self._is_requested:
+            self._is_requested = True
+            asyncio.get_running_loop().call_soon(self._reload_requested)
+
+    def _reload_requested(self) -> None:
+        self._is_requested = False
+        self.reload()
 
     def reload(self) -> None:
         """Reads the file, and retries shortly afterwards if it cannot be read, because discovery may have moved."""
--- a/tests/runtime/test_reload.py
+++ b/tests/runtime/test_reload.py
@@ -9,8 +9,10 @@
 import operator
 import signal
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
+from forwarder.runtime.context import Runtime
+from forwarder.runtime.reload import ConfigReloader
 from tests.nodes import SETTINGS, Node
 from tests.platforms import Platform
 from tests.scenes import play, received_ids, start_endpoint, start_node
@@ -122,3 +124,22 @@
             assert (await moved.wait_for_notice(name))["state"] == "failed"
 
     play(scene, tmp_path)
+
+
+def test_signals_of_one_moment_cause_one_reload() -> None:
+    """Guards against a series of signals that fills Python's signal pipe while each of them reads the file."""
+
+    async def scene() -> None:
+        reloader = ConfigReloader(cast("Runtime", None))
+        reloads: list[str] = []
+        reloader.reload = lambda: reloads.append("reload")  # type: ignore[method-assign]
+        for _ in range(3):
+            reloader.request()
+        assert reloads == []
+        await asyncio.sleep(0)
+        assert reloads == ["reload"]
+        reloader.request()
+        await asyncio.sleep(0)
+        assert len(reloads) == 2
+
+    asyncio.run(scene())
