--- a/forwarder/runtime/reload.py
+++ b/forwarder/runtime/reload.py
@@ -81,7 +81,8 @@
         if loaded.discovery != before.discovery:
             runtime.watch.change_address(loaded.discovery)
             runtime.notices.change_address(loaded.discovery)
-        if loaded.settings != before.settings and not runtime.run_state.is_frozen:
+        is_changed = (loaded.settings, loaded.report_fields) != (before.settings, before.report_fields)
+        if is_changed and not runtime.run_state.is_frozen:
             runtime.loop.run_round()  # submissions from before the reload are accepted under the old settings
             self._apply_settings(socket_settings(loaded.settings))
 
--- a/tests/runtime/test_reload.py
+++ b/tests/runtime/test_reload.py
@@ -11,8 +11,11 @@
 from pathlib import Path
 from typing import Any, cast
 
+import pytest
+
 from forwarder.runtime.context import Runtime
 from forwarder.runtime.reload import ConfigReloader
+from tests.engine_scene import EngineScene, play_with_platform
 from tests.nodes import SETTINGS, Node
 from tests.platforms import Platform
 from tests.scenes import play, received_ids, start_endpoint, start_node
@@ -143,3 +146,24 @@
         assert len(reloads) == 2
 
     asyncio.run(scene())
+
+
+def test_new_names_of_report_fields_apply_without_another_change(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a partial reload: load reports were read by the names of the file before."""
+    monkeypatch.setenv("LB_CONFIG", str(tmp_path / "config.json"))
+    monkeypatch.setenv("LB_STATE", str(tmp_path))
+
+    async def scene(platform: Platform) -> None:
+        engine = (await EngineScene(tmp_path, platform, telemetry={"fields": [], "how": "silent"}).start()).engine
+        assert engine.pool.in_flight.report_fields == ()
+        document = json.loads((tmp_path / "config.json").read_text())
+        document["settings"]["telemetry"] = {"fields": ["x0", "x1"], "how": "piggyback"}
+        (tmp_path / "config.json").write_text(json.dumps(document))
+        engine.reloader.reload()
+        assert engine.pool.in_flight.report_fields == ("x0", "x1")
+        engine.server.close()
+        engine.pool.close()
+
+    play_with_platform(scene)
