--- a/forwarder/discovery/notifier.py
+++ b/forwarder/discovery/notifier.py
@@ -128,6 +128,9 @@
         self.client.close()
         self.address = address
         self.client = DiscoveryClient(address, self.spare)
+        if self._connection_task is not None:  # it may be connecting to the old address still
+            self._connection_task.cancel()
+            self.keep_connected()
         self._wake_event.set()
 
     async def _run(self) -> None:
--- a/tests/discovery/test_notifier.py
+++ b/tests/discovery/test_notifier.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
+from forwarder.config.config import Address
+from forwarder.discovery import notifier as notifier_module
 from forwarder.discovery.notifier import FIRST_REPOST_S, RETRY_PAUSES_S, Notifier
 from forwarder.storage.messages import PendingNotice
 from tests.discovery.peers import ManualDiscovery
@@ -91,3 +94,38 @@
         discovery.server.close()
 
     play_with_platform(scene)
+
+
+def test_a_second_move_does_not_wait_for_the_connect_to_the_first_address(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against late notices: after two moves in a moment, the connection was kept for the first address only."""
+    monkeypatch.setattr(notifier_module, "CONNECT_TIMEOUT_S", 3600.0)
+
+    async def scene(_: Platform) -> None:
+        silent = socket.create_server(("127.0.0.1", 0), backlog=0)
+        waiting = [socket.socket() for _ in range(2)]  # they fill its queue, so that no other connection comes up
+        for each in waiting:
+            each.setblocking(False)
+            each.connect_ex(silent.getsockname())
+        before, after = await ManualDiscovery().start(), await ManualDiscovery().start()
+
+        class Source:
+            def pending_notices(self) -> dict[str, PendingNotice]:
+                return {}
+
+            def acknowledge_notices(self, message_ids: list[str]) -> None:
+                raise AssertionError(message_ids)
+
+        notifier = Notifier(before.address, Source())
+        notifier.keep_connected()
+        while not notifier.client.channel.is_usable():
+            await asyncio.sleep(0.002)
+        notifier.change_address(Address(*silent.getsockname()))
+        await asyncio.sleep(0.05)
+        notifier.change_address(after.address)
+        while not notifier.client.channel.is_usable():
+            await asyncio.sleep(0.002)
+        notifier.client.close()
+        for each in (*waiting, silent, before.server, after.server):
+            each.close()
+
+    play_with_platform(scene)
