--- a/forwarder/admin/commands.py
+++ b/forwarder/admin/commands.py
@@ -92,13 +92,17 @@
         return "; ".join(detail for detail in details if detail)
 
     def rules(self) -> str:
-        """`RULES`: counts of violated invariants, attempts held back, and failures."""
+        """`RULES`: counts of violated invariants, attempts held back, and failures, and what new messages depend on."""
         runtime = self.runtime
         journal = "cannot be written" if runtime.store.write_failed else "written"
+        platform = "reached" if runtime.notices.is_reachable() else "cannot be reached"
+        refusal = runtime.reloader.refusal
+        configuration = f"left as it was: {refusal}" if refusal else "the newest file holds"
         return (
             f"violations: {runtime.reasons.summary(Subject.VIOLATION)}; held back: "
             f"{runtime.reasons.summary(Subject.HELD_BACK)}; failures: {runtime.supervisor.summary()}; "
-            f"journal: {journal}, {runtime.store.write_failures} failures"
+            f"journal: {journal}, {runtime.store.write_failures} failures; platform: {platform}; "
+            f"configuration: {configuration}"
         )
 
     def phase(self) -> str:
--- a/forwarder/discovery/notifier.py
+++ b/forwarder/discovery/notifier.py
@@ -15,6 +15,7 @@
 
 from forwarder.config.config import Address
 from forwarder.discovery.client import DiscoveryClient
+from forwarder.endpoints.local_errors import LOCAL_ERRORS
 from forwarder.protocol.http1 import MAX_BODY_BYTES, BadResponseError
 from forwarder.runtime.failure_span import FailureSpan
 from forwarder.runtime.retrying_socket import SpareSocket
@@ -31,6 +32,8 @@
 RETRY_PAUSES_S = (0.05, 0.1)  # after failed posts; the last value repeats
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_PAUSES_S = (0.02, 0.1, 0.5)  # after failed attempts to connect; the last value repeats
+UNREACHABLE_AFTER_S = 2.0
+"""How long the platform may be out of reach before new messages are rejected, as their ends could not be reported."""
 MIN_CONNECTION_LIFETIME_S = 1.0  # a connection that ended sooner is reopened after a pause
 MAX_NOTICES_PER_POST = 500
 MAX_POST_BYTES = MAX_BODY_BYTES
@@ -85,6 +88,8 @@
         self._repost_delay_s = FIRST_REPOST_S
         """Time after the newest post until its notices are posted again."""
         self._retry_at_s = 0.0
+        self._unreachable_since_s: float | None = None
+        """Time of the first failure to reach the platform since it was reached last; None without one."""
         self._wake_event = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._connection_task: asyncio.Task[None] | None = None
@@ -104,6 +109,19 @@
         is_busy = any(post.client is self.client for post in self._posts)
         return None if is_busy or not self.client.channel.is_usable() else self.client.channel.transport
 
+    def is_reachable(self) -> bool:
+        """Returns whether the platform was reached recently, or has not failed to be reached since.
+
+        Errors of this machine do not count, nor does an answer other than 204.
+        """
+        if self._unreachable_since_s is None:
+            return True
+        return asyncio.get_running_loop().time() - self._unreachable_since_s < UNREACHABLE_AFTER_S
+
+    def _note_unreachable(self, error: Exception) -> None:
+        if self._unreachable_since_s is None and isinstance(error, OSError) and error.errno not in LOCAL_ERRORS:
+            self._unreachable_since_s = asyncio.get_running_loop().time()
+
     async def _keep_connected(self) -> None:
         loop = asyncio.get_running_loop()
         failures = 0
@@ -114,8 +132,10 @@
                 await client.connect(CONNECT_TIMEOUT_S)
             except OSError as error:
                 self.connecting.failed(error or type(error).__name__)
+                self._note_unreachable(error)
             else:
                 self.connecting.worked()
+                self._unreachable_since_s = None
                 self.spare.fill()
                 await client.channel.ended.wait()
             failures = 0 if loop.time() - opened_s > MIN_CONNECTION_LIFETIME_S else failures + 1
@@ -128,6 +148,7 @@
         self.client.close()
         self.address = address
         self.client = DiscoveryClient(address, self.spare)
+        self._unreachable_since_s = None
         if self._connection_task is not None:  # it may be connecting to the old address still
             self._connection_task.cancel()
             self.keep_connected()
@@ -202,12 +223,14 @@
             except (OSError, BadResponseError) as error:
                 self._retry_at_s = now_s + RETRY_PAUSES_S[min(self.posting.failures, len(RETRY_PAUSES_S) - 1)]
                 self.posting.failed(f"{error or type(error).__name__} notices={len(post.message_ids)}")
+                self._note_unreachable(error)
             else:
                 self._post_succeeded(post, now_s - post.started_s)
 
     def _post_succeeded(self, post: Post, duration_s: float) -> None:
         """Keeps the working connection, and sets the repost delay to twice the duration of this post, within bounds."""
         self.posting.worked()
+        self._unreachable_since_s = None
         self.spare.fill()
         self._repost_delay_s = min(max(FIRST_REPOST_S, 2 * duration_s), MAX_REPOST_S)
         if post.client is not self.client:
--- a/forwarder/runtime/context.py
+++ b/forwarder/runtime/context.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from forwarder.admin.server import AdminServer
 from forwarder.clients.drain import ClientDrain
@@ -19,6 +19,9 @@
 from forwarder.runtime.ownership import HandoverState, Ownership
 from forwarder.runtime.reason_counts import ReasonCounts
 
+if TYPE_CHECKING:
+    from forwarder.runtime.reload import ConfigReloader
+
 
 class Runtime(ExtensionHost, Protocol):
     """The forwarder's collaborators. `Engine` builds them, and is the one implementation."""
@@ -38,6 +41,7 @@
     admin: AdminServer
     watch: EndpointListWatch
     notices: Notifier
+    reloader: ConfigReloader
     extensions: list[Extension]
 
     def apply_endpoint_list(self, endpoint_list: EndpointList) -> None:
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -151,6 +151,7 @@
         """Builds the endpoint list watch and the notifier of the platform."""
         self.pending_notices = PendingNotices(self.store, self.invariants, self.clock, self.post)
         self.notices = Notifier(self.config.discovery, self.pending_notices, self.supervisor)
+        self.intake.can_report_ends = self.notices.is_reachable
         self.watch = EndpointListWatch(
             self.config.discovery,
             NO_LIST_VERSION,
--- a/forwarder/runtime/intake.py
+++ b/forwarder/runtime/intake.py
@@ -51,6 +51,8 @@
         self.reasons = reasons
         self.run_state = run_state
         self.post = post
+        self.can_report_ends: Callable[[], bool] = lambda: True
+        """Returns whether the platform can be told of a message that is not delivered."""
         self.pending: PendingSubmissions = {}
         """Submissions since the last round, by message id."""
         self._full_logged_us = -FULL_LOG_INTERVAL_US
@@ -66,6 +68,9 @@
         if not self._has_room(submission):
             self.reject_unavailable(submission, client, "full")
             return
+        if not self.can_report_ends():
+            self.reject_unavailable(submission, client, "the platform cannot be reached")
+            return
         if submission.destination not in self.endpoint_table.destinations:
             self.reject_unavailable(submission, client, "no such destination")
             return
--- a/forwarder/runtime/reload.py
+++ b/forwarder/runtime/reload.py
@@ -31,6 +31,8 @@
         self.runtime = runtime
         self._retry: asyncio.TimerHandle | None = None
         self._is_requested = False
+        self.refusal = ""
+        """Why the newest file was refused; empty if it was accepted."""
 
     def request(self) -> None:
         """Reads the file in the event loop's next iteration, once for all requests until then."""
@@ -55,7 +57,9 @@
             return
         except ConfigError as error:
             log.error("the configuration is left as it was: %s", error)
+            self.refusal = str(error)
             return
+        self.refusal = ""
         self._apply_config(loaded)
 
     def _apply_config(self, loaded: Config) -> None:
--- a/tests/runtime/test_reload.py
+++ b/tests/runtime/test_reload.py
@@ -167,3 +167,32 @@
         engine.pool.close()
 
     play_with_platform(scene)
+
+
+def test_no_message_is_accepted_while_a_refused_file_keeps_the_platform_out_of_reach(tmp_path: Path) -> None:
+    """Guards against lost messages: their notices could not reach the old address, and the file was rightly refused."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await start_endpoint(platform, always(OK))
+        node = await start_node(folder, platform)
+        moved = await Platform().start()
+        moved.version, moved.endpoints = platform.version, platform.endpoints
+        node.configure(discovery=f"127.0.0.1:{moved.port}", settings={})
+        await reload(node, "left as it was")
+        platform.server.close()
+        await platform.end_connections()
+        async with asyncio.timeout(PATIENCE):
+            number = 0
+            while (await node.submit(f"early-{number}", "pay"))[0] != 503:
+                number += 1
+                await asyncio.sleep(0.05)
+        rules = await node.call(b"RULES\n")
+        assert "platform: cannot be reached; configuration: left as it was: bad configuration" in rules
+        peer.handler = always(Answer(500))
+        node.configure(settings=SETTINGS)
+        await reload(node, "the configuration was read again")
+        assert (await node.submit("after", "pay"))[0] == 202
+        assert (await moved.wait_for_notice("after"))["state"] == "failed"
+        assert "platform: reached; configuration: the newest file holds" in await node.call(b"RULES\n")
+
+    play(scene, tmp_path)
