--- a/forwarder/config/config.py
+++ b/forwarder/config/config.py
@@ -212,7 +212,7 @@
         document: JsonObject = json.loads(Path(path).read_bytes())
     except OSError as error:
         raise ConfigUnreadableError(f"cannot read {path}: {error}", error.errno in TRANSIENT_ERRORS) from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:  # RecursionError: nested too deeply
         raise ConfigError(f"cannot read {path}: {error}") from None
     return document
 
--- a/forwarder/endpoints/call_outcome.py
+++ b/forwarder/endpoints/call_outcome.py
@@ -79,6 +79,6 @@
 def _batch_states(body: bytes, endpoint: int) -> dict[object, object]:
     try:
         return {entry["id"]: entry["state"] for entry in json.loads(body)}
-    except (ValueError, TypeError, KeyError) as error:
+    except (ValueError, TypeError, KeyError, RecursionError) as error:  # RecursionError: nested too deeply
         log.warning("malformed batch answer: endpoint=%d reason=%r", endpoint, error)
         return {}
--- a/tests/endpoints/test_call_outcome.py
+++ b/tests/endpoints/test_call_outcome.py
@@ -17,7 +17,7 @@
 from tests.endpoints.peers import make_pool
 from tests.platforms import Platform
 from tests.scenes import play, received_ids, start_endpoint, start_node
-from tests.sockets import OK, Answer, Peer, Request, always, free_port
+from tests.sockets import OK, PATIENCE, Answer, Peer, Request, always, free_port
 
 
 def test_a_retry_after_in_the_answer_to_a_batch_applies_whatever_the_results() -> None:
@@ -169,3 +169,23 @@
         assert times[1] - times[0] >= 0.69
 
     play(scene, tmp_path)
+
+
+def test_a_batch_answer_that_is_nested_too_deeply_ends_its_call() -> None:
+    """Guards against slots that are lost for good: the attempts of such a call never ended."""
+
+    async def scene() -> None:
+        ends: list[AttemptEnded] = []
+        peer = await Peer(always(Answer(200, body=b"[" * 50_000))).start()
+        pool, now = make_pool(ends), Clock()()
+        pool.update_addresses({1: Address("127.0.0.1", peer.port)})
+        items = [CallItem(name, 0, None, b"x", now + 10**7, now + 10**7) for name in "ab"]
+        pool.start(EndpointCall(1, LimitScopeKey(7, -1), now, items))
+        async with asyncio.timeout(PATIENCE):
+            while len(ends) < 2:
+                await asyncio.sleep(0.005)
+        assert [end.outcome for end in ends] == [Outcome.FAILED] * 2
+        assert not pool.calls_in_flight
+        pool.close()
+
+    asyncio.run(scene())
--- a/tests/runtime/test_reload.py
+++ b/tests/runtime/test_reload.py
@@ -82,7 +82,7 @@
             "discovery": "127.0.0.1:9",
             "settings": {**SETTINGS, "services": [STRICT, *SETTINGS["services"][1:]]},
         }
-        broken = ["", "{", "[]", "null", json.dumps(better)[:-40]]
+        broken = ["", "{", "[]", "null", "[" * 100_000, json.dumps(better)[:-40]]
         broken += [json.dumps(without(better, key)) for key in good]
         broken += [json.dumps(without(better, "settings", key)) for key in SETTINGS]
         broken += [json.dumps(without(better, "settings", "services", 0, key)) for key in STRICT]
