--- a/forwarder/protocol/http1.py
+++ b/forwarder/protocol/http1.py
@@ -13,6 +13,8 @@
 MAX_BODY_BYTES = 64 * 1024
 MAX_ENDPOINT_LIST_BYTES = 8 * 1024 * 1024
 MAX_FIRST_LINE_BYTES = 256
+MAX_FRAMING_FACTOR = 2
+"""An answer may have this many times the bytes of its headers and body, for the rest of its lines and chunks."""
 FIRST_LINE_OK = re.compile(rb"HTTP/1\.[01] 200( [^\r\n]*)?\r?\n")
 MAX_LIMIT_LEFT = 16.0
 """A load report with a larger share of a limit is ignored. A share is at most 1, but reports are noisy."""
@@ -32,7 +34,7 @@
     """Parses successive answers from the bytes of a connection.
 
     Args:
-        max_bytes: the maximum size of an answer's headers and body together.
+        max_bytes: the maximum size of an answer's headers and body together, without the framing around them.
 
     Attributes:
         status: the status code; 0 until the headers are complete.
@@ -58,6 +60,7 @@
         self.has_surplus = False
         self._first_bytes = b""
         self._size = 0
+        self._received_bytes = 0
         self._body_parts: list[bytes] = []
 
     def release(self) -> None:
@@ -79,6 +82,7 @@
             self._note_surplus()
             return
         self.begun = True
+        self._received_bytes += len(data)
         if len(self._first_bytes) < MAX_FIRST_LINE_BYTES:
             self._first_bytes += data[:MAX_FIRST_LINE_BYTES]
         # The parser does not tell where an answer ends. If it ends before the last byte, that byte is surplus.
@@ -87,7 +91,8 @@
             self._note_surplus()
         else:
             self._parse(data[-1:])
-        if self._size > self.max_bytes:
+        is_too_long = not self.complete and self._received_bytes > MAX_FRAMING_FACTOR * self.max_bytes
+        if self._size > self.max_bytes or is_too_long:
             raise BadResponseError("the answer is too large")
 
     def _parse(self, data: bytes | memoryview) -> None:
--- a/tests/protocol/test_response_reader.py
+++ b/tests/protocol/test_response_reader.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from forwarder.protocol.http1 import BadResponseError, ResponseReader
+from forwarder.protocol.http1 import MAX_BODY_BYTES, MAX_FRAMING_FACTOR, BadResponseError, ResponseReader
 
 ANSWERS = {
     "without a body": b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Of: 1\r\n\r\n",
@@ -81,3 +81,21 @@
 def test_malformed_bytes_within_an_answer_are_still_an_error() -> None:
     with pytest.raises(BadResponseError):
         read(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n")
+
+
+UNENDING = {
+    "a first line": b"HTTP/1.1 200 OK",
+    "a header line": b"HTTP/1.1 200 OK\r\nX-Of: ",
+    "a chunk line": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+    "a trailer": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Of: ",
+    "interim answers": b"HTTP/1.1 100 X\r\n\r\n" * 50,
+}
+
+
+@pytest.mark.parametrize("start", UNENDING.values(), ids=UNENDING.keys())
+def test_an_answer_that_does_not_end_is_refused_before_it_fills_the_memory(start: bytes) -> None:
+    """Guards against a kill for memory: a line that never ends was kept without a bound (review/3)."""
+    piece = start if start.endswith(b"\r\n") else b"x" * 1000
+    pieces = [piece] * (MAX_FRAMING_FACTOR * MAX_BODY_BYTES // len(piece) + 1)
+    with pytest.raises(BadResponseError, match="too large"):
+        read(start, *pieces)
