--- a/forwarder/clients/request_parser.py
+++ b/forwarder/clients/request_parser.py
@@ -11,6 +11,8 @@
 from forwarder.protocol.http1 import MAX_BODY_BYTES
 
 MAX_HEADER_BYTES = 16 * 1024
+MAX_REQUEST_BYTES = MAX_HEADER_BYTES + 2 * MAX_BODY_BYTES
+"""The most bytes of one request, with the framing of its header and of a chunked body."""
 UNREPEATABLE_HEADERS = frozenset(
     {"x-correlation-id", "x-time-left", "x-addressing", "x-session-key", "idempotency-key"}
 )
@@ -35,6 +37,8 @@
         self._on_expect_continue = on_expect_continue
         self._parser = httptools.HttpRequestParser(self)
         self._header_bytes = 0
+        self._partial_size = 0
+        """Number of bytes since the read in which the partial request began."""
         self._arrived_us = 0
         self._complete: list[ClientRequest] = []
 
@@ -57,6 +61,7 @@
         self._arrived_us = arrived_us
         try:
             self._parser.feed_data(data)
+            self._count_partial(len(data))
         except httptools.HttpParserUpgrade:
             pass
         except (httptools.HttpParserError, BadRequestError) as error:
@@ -71,6 +76,17 @@
             self.partial_bytes += data
         return complete
 
+    def _count_partial(self, size: int) -> None:
+        """Counts the bytes of an incomplete request, as the parser reports none within a line that has not ended.
+
+        Raises:
+            BadRequestError: the request is too long.
+        """
+        is_continued = self.partial is not None and not self._complete
+        self._partial_size = self._partial_size + size if is_continued else 0
+        if self._partial_size > MAX_REQUEST_BYTES:
+            raise BadRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the request is too large")
+
     def abandon(self) -> None:
         """Stops parsing this connection; the request that was read in part will not be completed."""
         self.is_broken = True
--- a/tests/clients/test_request_parser.py
+++ b/tests/clients/test_request_parser.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from forwarder.clients.request_parser import MAX_HEADER_BYTES, RequestParser
+from forwarder.clients.request_parser import MAX_HEADER_BYTES, MAX_REQUEST_BYTES, RequestParser
 from forwarder.protocol.http1 import MAX_BODY_BYTES
 from tests.nodes import message
 
@@ -108,3 +108,25 @@
     parser.feed(data[:-1], 0)
 
     assert continue_requests == ["continue"]
+
+
+UNENDING = {
+    "a path": b"POST /",
+    "a header line": b"POST /order HTTP/1.1\r\nX-Of: ",
+    "a chunk line": b"POST /order HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+    "a trailer": b"POST /order HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Of: ",
+}
+
+
+@pytest.mark.parametrize("first", [b"", message("m")], ids=["alone", "behind a request"])
+@pytest.mark.parametrize("start", UNENDING.values(), ids=UNENDING.keys())
+def test_a_request_that_does_not_end_is_refused_before_it_fills_the_memory(start: bytes, first: bytes) -> None:
+    """Guards against a kill for memory: a chunk line that never ended was kept without a bound."""
+    parser = make_parser()
+    parser.feed(first + start, 0)
+    requests = []
+    for _ in range(MAX_REQUEST_BYTES // 1000 + 1):
+        requests += parser.feed(b"x" * 1000, 0) if not parser.is_broken else []
+    (request,) = requests
+    assert request.error is not None
+    assert not parser.partial_bytes
