--- a/forwarder/discovery/client.py
+++ b/forwarder/discovery/client.py
@@ -12,7 +12,7 @@
 from forwarder.runtime.retrying_socket import RetryingSocket, SpareSocket, connect
 
 RECONNECT_PAUSES_S = (0.0, 0.02, 0.05)  # short: until an answer has been read, calls use an older endpoint list
-REUSE_DELAY_S = 0.005
+REUSE_DELAY_S = 0.01
 """How long the connection rests after an answer: bytes that follow the answer then arrive before the next request."""
 
 
--- a/forwarder/endpoints/idle_connections.py
+++ b/forwarder/endpoints/idle_connections.py
@@ -11,7 +11,7 @@
 from forwarder.units import SECOND_US
 
 SWEEP_INTERVAL_S = 0.2
-REUSE_DELAY_US = 5_000
+REUSE_DELAY_US = 10_000
 """How long a connection rests after an answer: bytes that follow the answer then arrive before the next call."""
 REUSE_MARGIN_S = 0.001  # the event loop's timers may fire slightly early
 MAX_IDLE_PER_ENDPOINT = 4  # some endpoints accept few connections, including idle ones
