--- a/forwarder/endpoints/pool.py
+++ b/forwarder/endpoints/pool.py
@@ -80,8 +80,10 @@
         self.connections: set[EndpointConnection] = set()
         self.descriptor_reserve: DescriptorReserve | None = None
         self.idle = IdleConnections(clock, self.supervisor)
-        self._opening: set[asyncio.Task[None]] = set()
-        """The tasks that find a connection for a call."""
+        self._connecting: set[asyncio.Task[None]] = set()
+        """The tasks that open a connection for a call."""
+        self._waiting: set[asyncio.Task[None]] = set()
+        """The tasks of calls that wait for a resting connection."""
         self.apply_settings(report_fields, idle_timeout_us, connect_timeout_us)
 
     @property
@@ -126,23 +128,25 @@
         if not call.open_items or self._send_on_idle(call):
             return
         if self.idle.has_resting(call.endpoint):
-            self._run(call, "wait for a connection", self._wait_and_send(call, address))
-        elif self._has_room(call):
-            self._run(call, "connect", self._connect_and_send(call, address))
-
-    def _has_room(self, call: EndpointCall) -> bool:
-        """Returns whether one more connection may be opened, and holds the call back if not."""
-        if len(self.connections) + len(self._opening) < self.max_connections or self.idle.close_longest_idle():
-            return True
-        self.reasons.note(Subject.HELD_BACK, "call: too many connections to endpoints", call.items[0].id)
-        self.finish(call, CallResult(Outcome.LOCAL_FAILURE))
-        return False
+            self._run(self._waiting, call, "wait for a connection", self._wait_and_send(call, address))
+        else:
+            self._open_connection(call, address)
 
-    def _run(self, call: EndpointCall, name: str, step: Coroutine[Any, Any, None]) -> None:
-        """Runs a step that finds a connection for a call."""
+    def _open_connection(self, call: EndpointCall, address: Address) -> None:
+        """Sends a call on a new connection, or holds it back if there are too many."""
+        if len(self.connections) + len(self._connecting) >= self.max_connections and not self.idle.close_longest_idle():
+            self.reasons.note(Subject.HELD_BACK, "call: too many connections to endpoints", call.items[0].id)
+            self.finish(call, CallResult(Outcome.LOCAL_FAILURE))
+            return
+        self._run(self._connecting, call, "connect", self._connect_and_send(call, address))
+
+    def _run(
+        self, tasks: set[asyncio.Task[None]], call: EndpointCall, name: str, step: Coroutine[Any, Any, None]
+    ) -> None:
+        """Runs a step that finds a connection for a call, as one of the given tasks until it is done."""
         task = asyncio.get_running_loop().create_task(self._run_guarded(call, name, step))
-        self._opening.add(task)
-        task.add_done_callback(self._opening.discard)
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
 
     def cancel(self, message_id: str, attempt: int) -> None:
         """Gives up an attempt, if it has not ended."""
@@ -179,8 +183,8 @@
         """Sends a call on a connection that rests now, or on a new one if that connection is lost by then."""
         await self.idle.rest(call.endpoint)
         self._end_denied(call, address)  # the list or a Retry-After may have changed, or a deadline passed
-        if call.open_items and not self._send_on_idle(call) and self._has_room(call):
-            await self._connect_and_send(call, address)
+        if call.open_items and not self._send_on_idle(call):
+            self._open_connection(call, address)
 
     async def _connect_and_send(self, call: EndpointCall, address: Address) -> None:
         started_us = self.clock()
