--- a/lab/harness/fakes.py
+++ b/lab/harness/fakes.py
@@ -134,6 +134,10 @@
         """Whether a received list has not been read yet: never."""
         return False
 
+    def is_reachable(self) -> bool:
+        """Whether the platform can be reached: always."""
+        return True
+
     def wake(self) -> None:
         """Do nothing: there is no event loop."""
 
