--- a/forwarder/endpoints/pool.py
+++ b/forwarder/endpoints/pool.py
@@ -182,6 +182,7 @@
     async def _wait_and_send(self, call: EndpointCall, address: Address) -> None:
         """Sends a call on a connection that rests now, or on a new one if that connection is lost by then."""
         await self.idle.rest(call.endpoint)
+        call.sent_us = self.clock()  # the wait is no part of the endpoint's latency
         self._end_denied(call, address)  # the list or a Retry-After may have changed, or a deadline passed
         if call.open_items and not self._send_on_idle(call):
             self._open_connection(call, address)
--- a/tests/endpoints/test_surplus_bytes.py
+++ b/tests/endpoints/test_surplus_bytes.py
@@ -157,6 +157,7 @@
         first.send(ERROR)
         await until_ended(ends, 2)
         assert [end.outcome for end in ends] == [Outcome.DELIVERED, Outcome.FAILED]
+        assert ends[1].duration_us < idle_connections.REUSE_DELAY_US  # the rest is no part of the endpoint's latency
         assert len(pool.connections) == 1
         pool.close()
 
