Clients: a refusal to a client that has left does not raise

Cause: the answer itself causes the client's reset; `write_eof` behind it then raises ENOTCONN (`answer`). The test fails without the change ("Transport endpoint is not connected") and passes with it.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -6,6 +6,7 @@
 import select
 from collections import deque
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Protocol
 
@@ -206,7 +207,8 @@
         if self.parser.is_broken and not self.waiting:
             # The client may still be sending: an immediate close would reset the connection before it reads the answer.
             if self.transport.can_write_eof():
-                self.transport.write_eof()
+                with suppress(OSError):  # the client has reset the connection
+                    self.transport.write_eof()
             loop.call_later(MALFORMED_REQUEST_LINGER_S, self.close, "an unreadable request was answered")
         elif not keep_alive and not self.waiting:
             self.close("answered, and not kept alive")
--- a/tests/clients/test_server.py
+++ b/tests/clients/test_server.py
@@ -68,6 +68,29 @@
     asyncio.run(scene())
 
 
+def test_a_partial_request_is_refused_without_an_exception_if_its_client_has_left() -> None:
+    """Found with issue 61 (a): one reset ended the sweep of all clients, and the accept of another."""
+
+    async def scene() -> None:
+        server = ClientServer(parse_settings(SETTINGS), Clock(), 10, lambda submitted, connection: None)
+        server.listen(await bind(Address("127.0.0.1", 0)))
+        assert server.listener is not None
+        _, writer = await asyncio.open_connection("127.0.0.1", server.listener.address().port)
+        writer.write(message("m")[:-1])
+        while not server.connections or next(iter(server.connections)).parser.partial is None:
+            await asyncio.sleep(0.01)
+        (connection,) = server.connections
+        assert connection.transport is not None
+        connection.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.transport.abort()  # the answer then causes a reset, before the end of writing
+        await asyncio.sleep(0.05)
+        connection.evict("too many clients")
+        assert connection.is_closed()
+        server.close()
+
+    asyncio.run(scene())
+
+
 def test_a_connection_above_the_limit_closes_the_longest_idle_one() -> None:
     async def scene() -> None:
         server = ClientServer(parse_settings(SETTINGS), Clock(), 2, lambda submitted, connection: None)
