Memory: one plan says how much is held, and requests in part are refused within it

Cause: each connection had bounds, their sum had none: 496 clients of up to 144 kB each, twice. memory_mb was read and used nowhere. Change: decisions/memory_plan.py divides memory_mb by what the process takes at its start, the folder and the connections. RequestMemory counts what clients' input takes as objects. Over the sum, the request in part that has been held for longest gets 503, of those above an equal part; reads get smaller. Over the limit on connections, a client that has sent several requests at once makes room first, or one that leaves its answers unread. New log lines: `memory:` at the start, `state: memory:` with what is held for whom, the refusals' reason.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -22,6 +22,7 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_REQUESTS_PER_TURN = 4  # requests of one connection that are handled without a break
+MAX_REJECTIONS = 32  # requests that are rejected when a connection is closed to make room
 CLIENT_TIMEOUT_US = 400_000  # a client without an answer after this time closes its connection (PROTOCOL)
 READ_LATE_THRESHOLD_US = 100_000  # a request that may have waited longer in the kernel is counted as read late
 MALFORMED_REQUEST_LINGER_S = 1.0  # delay between the answer to a malformed request and the close of its connection
@@ -32,8 +33,7 @@
 
     reasons: ReasonCounts
     clock: Callable[[], int]
-    turns: TurnQueue
-    read_buffer: memoryview
+    turns: TurnQueue[ClientConnection]
     draining: bool
     closed: bool
 
@@ -52,6 +52,12 @@
     def handle(self, connection: ClientConnection, request: ClientRequest) -> None:
         """Answers a request, immediately or later."""
 
+    def buffer_for_read(self) -> memoryview:
+        """Returns the buffer for one read; it is shared, and its size depends on the memory that is left."""
+
+    def note_held(self, connection: ClientConnection) -> None:
+        """Notes how much memory the unanswered input of a connection takes now."""
+
 
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection.
@@ -84,6 +90,9 @@
         """Id of the message that was submitted last on this connection."""
         self.writing_paused = False
         """Whether writing is paused because the client does not read its answers."""
+        self._read_buffer = memoryview(b"")
+        self._lingering: asyncio.TimerHandle | None = None
+        """The timer that closes the connection after the answer to a malformed request."""
         self._unsent = UnsentAnswers(sock)
         self._handed_over = handed_over
         self.peer_ended = False
@@ -105,6 +114,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Withdraws the current request; called by the event loop."""
         self.server.connection_ended(self)
+        if self._lingering is not None:
+            self._lingering.cancel()
         self.reader.abandon()
         self._withdraw()
         self._unsent.undo()
@@ -129,11 +140,12 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read; called by the event loop."""
         self._arrivals.note_readable(self.server.clock())
-        return self.server.read_buffer
+        self._read_buffer = self.server.buffer_for_read()
+        return self._read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Processes the data in the read buffer; called by the event loop."""
-        self.data_received(bytes(self.server.read_buffer[:nbytes]))
+        self.data_received(bytes(self._read_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Parses requests and starts to answer them."""
@@ -169,6 +181,10 @@
 
     # State
 
+    def has_partial_request(self) -> bool:
+        """Returns whether the next request to be answered has come in part only, so that it may be refused."""
+        return self.current_request is None and self.reader.partial is not None and not self.is_closed()
+
     def is_idle(self) -> bool:
         """Returns whether the connection is between requests."""
         return self.current_request is None and self.reader.partial is None and not self.reader.has_input()
@@ -181,6 +197,11 @@
         """Returns whether some bytes of answers are not yet handed to the kernel."""
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    def leaves_answers_unread(self, since_us: int) -> bool:
+        """Returns whether the client has left answers unread since a given time, so that they fill its buffers."""
+        is_stuck = self.writing_paused and not self._unsent.is_short_of_buffers()
+        return is_stuck and not self.is_closed() and self.last_used_us < since_us
+
     def awaits_buffers(self) -> bool:
         """Returns whether a lack of kernel buffers on this machine delays an answer on which a message depends."""
         return not self.is_closed() and self._unsent.await_buffers()
@@ -215,7 +236,9 @@
             if self.transport.can_write_eof():
                 with suppress(OSError):  # the client has reset the connection
                     self.transport.write_eof()
-            loop.call_later(MALFORMED_REQUEST_LINGER_S, self.close, "an unreadable request was answered")
+            self._lingering = loop.call_later(
+                MALFORMED_REQUEST_LINGER_S, self.close, "an unreadable request was answered"
+            )
         elif not keep_alive and not self.reader.has_request():
             self.close("answered, and not kept alive")
         elif not self.peer_ended:
@@ -229,6 +252,7 @@
     def answer_unread(self, status: HTTPStatus, text: str, arrived_us: int) -> None:
         """Answers a request that was read in part; nothing more is read from the connection."""
         self.reader.abandon()
+        self.server.note_held(self)
         self.current_request = ClientRequest(arrived_us, keep_alive=False)
         self.answer(status, text)
 
@@ -255,7 +279,13 @@
             self.transport.abort()
 
     def evict(self, reason: str) -> None:
-        """Closes the connection to make room; a request that was read in part is rejected."""
+        """Closes the connection to make room; requests that were read, wholly or in part, are rejected."""
+        for _ in range(MAX_REJECTIONS):
+            request = self.reader.next_request() if self._may_take_request() else None
+            if request is None:
+                break
+            self.current_request = request
+            self.answer(HTTPStatus.SERVICE_UNAVAILABLE, reason)
         if self.reader.partial is not None:
             self.answer_unread(HTTPStatus.SERVICE_UNAVAILABLE, reason, self.last_used_us)
         self.close(reason)
@@ -295,6 +325,7 @@
             self._last_message_id = request.message_id
             self.server.handle(self, request)
         self._continue()
+        self.server.note_held(self)
 
     def _continue(self) -> None:
         """Waits for a turn if there is input left and it can be handled; otherwise reads on, or pauses reading."""
--- a/forwarder/clients/request_parser.py
+++ b/forwarder/clients/request_parser.py
@@ -40,7 +40,7 @@
         self.partial: ClientRequest | None = None
         self.is_broken = False
         self._on_expect_continue = on_expect_continue
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._wire_bytes = bytearray()
         """The bytes of the partial request, without those that follow its header and are a body of stated length."""
         self._has_wire_bytes = False
@@ -59,7 +59,7 @@
 
     def release(self) -> None:
         """Drops references back to this parser and its owner, so that both are freed without the cyclic collector."""
-        del self._parser
+        self._parser = None
         del self._on_expect_continue
 
     def feed(self, data: bytes, arrived_us: int) -> list[ClientRequest]:
@@ -70,8 +70,11 @@
             arrived_us: earliest time at which they may have arrived.
 
         Returns:
-            The requests that are now complete. A malformed request comes last and holds its error.
+            The requests that are now complete. A malformed request comes last and holds its error; nothing after it is
+            parsed.
         """
+        if self._parser is None:
+            return []
         was_between_requests = self.partial is None
         was_in_body = self._is_in_body_of_stated_length()
         self._arrived_us = arrived_us
@@ -157,7 +160,7 @@
         self.is_broken = True
         self.partial = None
         self._forget_wire_bytes()
-        self._parser = httptools.HttpRequestParser(self)  # the old one holds the line that has not ended
+        self._parser = None  # it holds the line that has not ended
 
     # Called by httptools
 
@@ -218,7 +221,7 @@
 
     def on_message_complete(self) -> None:
         """Completes a request; called by the parser."""
-        if self.partial is None:
+        if self.partial is None or self._parser is None:
             return
         self.partial.method = self._parser.get_method().decode("latin-1")
         self.partial.keep_alive = self._parser.should_keep_alive()
--- a/forwarder/clients/server.py
+++ b/forwarder/clients/server.py
@@ -11,6 +11,7 @@
 from forwarder.clients.client_connection import CLIENT_TIMEOUT_US, ClientConnection
 from forwarder.clients.eviction_order import EvictionOrder
 from forwarder.clients.listener import Listener, descriptor, descriptors_with_input
+from forwarder.clients.request_memory import RequestMemory
 from forwarder.clients.submission import BadRequestError, ClientRequest, Submission, parse_submission
 from forwarder.clients.turn_queue import TurnQueue
 from forwarder.decisions.settings import Settings
@@ -20,7 +21,11 @@
 from forwarder.runtime.retrying_socket import RetryingSocket
 from forwarder.runtime.supervisor import Supervisor
 
-READ_BUFFER_BYTES = 16 * 1024  # maximum size of one read, so that a flood of requests does not delay other clients
+READ_BUFFER_BYTES = 16 * 1024  # maximum size of one read
+MIN_READ_BYTES = 1024  # size of one read when clients hold all the memory that they may
+UNREAD_ANSWERS_US = 100_000  # a client that leaves answers unread for longer makes room for others
+UNREAD_ANSWERS = "its answers stay unread"
+NO_MEMORY = "no memory for its request"
 STALL_TIMEOUT_US = 2_000_000  # longest time without a request or with a partial one; an error or a close is due in 3 s
 MAX_OVERSHOOT = 16  # connections above the limit: a new one is accepted before another is closed for it
 MAX_EVICTION_PROPOSALS = 32  # connections checked to find one that may be closed to make room
@@ -51,6 +56,7 @@
         eviction_order: the other connections, ordered by how soon they are closed to make room.
         draining: whether client connections are being drained.
         closed: whether the server has been closed because the process exits.
+        request_memory: the memory that unanswered input of clients takes.
         turns: connections with input that waits for its turn.
         descriptor_reserve: frees a descriptor for an operation that needs one while the process has none left.
     """
@@ -73,8 +79,9 @@
         self.connections: set[ClientConnection] = set()
         self.closing: set[ClientConnection] = set()
         self.eviction_order: EvictionOrder[ClientConnection] = EvictionOrder()
-        self.turns = TurnQueue()
-        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # shared: data is copied right after each read
+        self.turns: TurnQueue[ClientConnection] = TurnQueue()
+        self.request_memory: RequestMemory[ClientConnection] = RequestMemory()
+        self._read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # shared: data is copied right after each read
         self.draining = False
         self.closed = False
         self.listener: Listener | None = None
@@ -139,6 +146,35 @@
             return
         self.on_submission(submission, connection)
 
+    # The memory of requests
+
+    def buffer_for_read(self) -> memoryview:
+        """Returns the buffer for one read, small if clients hold nearly all the memory that they may."""
+        free_bytes = self.request_memory.free_bytes()
+        if free_bytes >= READ_BUFFER_BYTES:
+            return self._read_buffer
+        return self._read_buffer[: max(MIN_READ_BYTES, free_bytes)]
+
+    def note_held(self, connection: ClientConnection) -> None:
+        """Notes what a connection holds; refuses requests that have come in part if all hold too much together."""
+        if connection in self.connections:
+            self.request_memory.note(connection, connection.reader.held_bytes)
+        while (refused := self.request_memory.next_to_refuse()) is not None:
+            self._refuse_partial(refused)
+
+    def limit_partial_requests(self, max_bytes: int) -> None:
+        """Refuses the largest requests that have come in part, until all input takes no more than this."""
+        while self.request_memory.used_bytes > max_bytes:
+            largest = self.request_memory.largest_partial()
+            if largest is None:
+                return
+            self._refuse_partial(largest)
+
+    def _refuse_partial(self, connection: ClientConnection) -> None:
+        self.reasons.note(Subject.REFUSAL, NO_MEMORY, f"{connection.reader.held_bytes} bytes held")
+        connection.answer_unread(HTTPStatus.SERVICE_UNAVAILABLE, NO_MEMORY, connection.last_used_us)
+        self.request_memory.note(connection, 0)
+
     # The limit on connections
 
     def free_slots(self) -> int:
@@ -178,6 +214,7 @@
         self.connections.discard(connection)
         self.closing.discard(connection)
         self.turns.discard(connection)
+        self.request_memory.note(connection, 0)
         self.eviction_order.discard(connection)
 
     def evict_for_descriptor(self) -> bool:
@@ -193,10 +230,19 @@
     def _evict(self, reason: str) -> bool:
         """Closes one connection to make room; returns False if none of those checked may be closed.
 
-        Never closes a connection that waits for an answer or that has an unread request in the kernel.
+        Never closes a connection that waits for an answer or that has an unread request in the kernel. One whose client
+        has sent several requests at once comes first, with a rejection of each.
         """
-        new_since_us = self.clock() - NEW_CONNECTION_US
-        for connection in self.eviction_order.propose(new_since_us, MAX_EVICTION_PROPOSALS):
+        waiting = self.turns.next_taker()
+        if waiting is not None:
+            self.turns.discard(waiting)
+            waiting.evict(reason)
+            return True
+        now_us = self.clock()
+        for connection in self.eviction_order.propose(now_us - NEW_CONNECTION_US, MAX_EVICTION_PROPOSALS):
+            if connection.leaves_answers_unread(now_us - UNREAD_ANSWERS_US):
+                connection.abort(UNREAD_ANSWERS)
+                return True
             if _is_evictable(connection) and not self._with_unread_input([connection]):
                 connection.evict(reason)
                 return True
@@ -274,7 +320,7 @@
     """Closes a connection whose client has made no progress since a given time."""
     partial = connection.reader.partial
     if (connection.writing_paused or connection.is_closed()) and connection.last_used_us < since_us:
-        connection.abort("its answers stay unread")  # an orderly close would wait forever for the client to read them
+        connection.abort(UNREAD_ANSWERS)  # an orderly close would wait forever for the client to read them
     elif connection.current_request is not None or connection.reader.is_broken:
         return
     elif partial is not None and partial.arrived_us < since_us:
--- a/forwarder/clients/turn_queue.py
+++ b/forwarder/clients/turn_queue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 MAX_TURNS_PER_ITERATION = 16
 
@@ -15,28 +15,35 @@
         """Processes a bounded part of the input, and queues again if there is more."""
 
 
-class TurnQueue:
+Taker = TypeVar("Taker", bound=TurnTaker)
+
+
+class TurnQueue(Generic[Taker]):
     """Gives turns in the order in which they were asked for, a limited number in each iteration of the event loop.
 
     What clients send that take one answer after the other does not pass through this queue.
     """
 
     def __init__(self) -> None:
-        self._waiting: dict[TurnTaker, None] = {}
+        self._waiting: dict[Taker, None] = {}
         self._is_scheduled = False
 
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def add(self, taker: TurnTaker) -> None:
+    def add(self, taker: Taker) -> None:
         """Queues for a turn, unless it is queued already."""
         self._waiting.setdefault(taker)
         self._schedule()
 
-    def discard(self, taker: TurnTaker) -> None:
+    def discard(self, taker: Taker) -> None:
         """Gives up a turn."""
         self._waiting.pop(taker, None)
 
+    def next_taker(self) -> Taker | None:
+        """Returns the one whose turn is next; None if nobody waits."""
+        return next(iter(self._waiting), None)
+
     def _schedule(self) -> None:
         if not self._is_scheduled:
             self._is_scheduled = True
@@ -45,7 +52,7 @@
     def _give_turns(self) -> None:
         self._is_scheduled = False
         for _ in range(min(MAX_TURNS_PER_ITERATION, len(self._waiting))):
-            taker = next(iter(self._waiting), None)
+            taker = self.next_taker()
             if taker is None:
                 return
             del self._waiting[taker]
--- a/forwarder/clients/unsent_answers.py
+++ b/forwarder/clients/unsent_answers.py
@@ -42,10 +42,13 @@
         if undo is not None and self._sock is not None and self._sock.sent_bytes <= first_byte:
             self._tracked.append(UnsentAnswer(first_byte, undo))
 
+    def is_short_of_buffers(self) -> bool:
+        """Returns whether this machine, and not the client, keeps answers from leaving."""
+        return self._sock is not None and self._sock.is_short_of_buffers
+
     def await_buffers(self) -> bool:
         """Returns whether an answer with an undo callback waits for this machine's buffers and not for its client."""
-        is_short = self._sock is not None and self._sock.is_short_of_buffers
-        return is_short and any(self._is_unsent(each) for each in self._tracked)
+        return self.is_short_of_buffers() and any(self._is_unsent(each) for each in self._tracked)
 
     def undo(self) -> bool:
         """Undoes the answers of which no byte was sent; returns whether there were any. They must not be sent later."""
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -18,9 +18,10 @@
 from forwarder.clients.drain import ClientDrain
 from forwarder.clients.listener import bind
 from forwarder.clients.server import MAX_OVERSHOOT, ClientServer
-from forwarder.config.config import Config, EndpointList
+from forwarder.config.config import BYTES_PER_MB, Config, EndpointList
 from forwarder.decisions.dispatcher import Dispatcher
 from forwarder.decisions.events import Event
+from forwarder.decisions.memory_plan import plan_memory
 from forwarder.decisions.settings import Settings
 from forwarder.discovery.endpoint_list_watch import EndpointListWatch
 from forwarder.discovery.notifier import Notifier
@@ -38,6 +39,7 @@
 from forwarder.runtime.ownership import HandoverState, Ownership
 from forwarder.runtime.pending_notices import PendingNotices
 from forwarder.runtime.periodic_checks import PeriodicChecks
+from forwarder.runtime.process_memory import USUAL_BASE_BYTES, own_memory_bytes
 from forwarder.runtime.reason_counts import ReasonCounts
 from forwarder.runtime.reload import ConfigReloader, socket_settings
 from forwarder.runtime.run_state import RunState
@@ -241,6 +243,7 @@
         self.folder_ownership.begin_to_write()
         log.info("start %d of %s: %s", self.identity.start_count, self.identity.folder_id, self.start_kind.value)
         self._log_descriptors()
+        self._apply_memory_plan()
         if self.handover is not None:
             await adopt_calls(self, self.handover)
             await adopt_notice_connection(self, self.handover)
@@ -276,6 +279,22 @@
             self.pool.max_connections,
         )
 
+    def _apply_memory_plan(self) -> None:
+        base_bytes = own_memory_bytes() or USUAL_BASE_BYTES
+        connections = self.server.max_connections + self.pool.max_connections
+        plan = plan_memory(self.config.memory_mb * BYTES_PER_MB, base_bytes, self.config.disk_bytes, connections)
+        self.memory_plan = plan
+        self.server.request_memory.set_limit(plan.request_bytes, self.server.max_connections)
+        log.info(
+            "memory: %d kB allowed, %d kB used; at most %d kB for requests in part, %d kB for an endpoint list, "
+            "%d kB for requests that are handed over",
+            plan.limit_bytes // 1000,
+            base_bytes // 1000,
+            plan.request_bytes // 1000,
+            plan.endpoint_list_bytes // 1000,
+            plan.handover_bytes // 1000,
+        )
+
     async def _listen_for_operators(self) -> None:
         """Listens on the admin address once it is free, without delaying service to clients."""
         address = self.config.admin
--- a/forwarder/runtime/state_log.py
+++ b/forwarder/runtime/state_log.py
@@ -6,10 +6,13 @@
 import os
 import time
 
+from forwarder.config.config import BYTES_PER_MB
 from forwarder.runtime.context import Runtime
+from forwarder.runtime.process_memory import own_memory_bytes
 from forwarder.runtime.reason_counts import Subject
 from forwarder.units import SECOND_US
 
+BYTES_PER_KB = 1000
 MAX_HOLD_REASONS = 3
 """Number of hold reasons that a line names, the largest first."""
 log = logging.getLogger("forwarder.engine")
@@ -40,6 +43,7 @@
         reasons.summary(Subject.HELD_BACK),
         reasons.summary(Subject.RETRY),
     )
+    _log_memory(runtime)
     listener = runtime.server.listener
     log.info(
         "state: lock %s; accept %s; connection for notices: %s; notices: %s",
@@ -55,6 +59,24 @@
         log.info("state: %s: %s", extension.name, extension.describe_state())
 
 
+def _log_memory(runtime: Runtime) -> None:
+    """Logs the memory of the process, and what is held for whom."""
+    server = runtime.server
+    own_bytes = own_memory_bytes()
+    log.info(
+        "state: memory: allowed_kb=%d own_kb=%s requests_kb=%d of %d; messages_kb=%d answers_kb=%d journal_kb=%d; "
+        "waiting for a turn=%d",
+        runtime.config.memory_mb * BYTES_PER_MB // BYTES_PER_KB,
+        "unknown" if own_bytes is None else own_bytes // BYTES_PER_KB,
+        server.request_memory.used_bytes // BYTES_PER_KB,
+        server.request_memory.limit_bytes // BYTES_PER_KB,
+        sum(len(message.body) for message in runtime.store.messages.values()) // BYTES_PER_KB,
+        sum(len(connection.received) for connection in runtime.pool.connections) // BYTES_PER_KB,
+        runtime.store.recovery_bytes // BYTES_PER_KB,
+        len(server.turns),
+    )
+
+
 def _log_counts(runtime: Runtime) -> None:
     store = runtime.store
     key_queues = runtime.dispatcher.key_queues.by_key.values()
--- a/lab/hostile_clients.py
+++ b/lab/hostile_clients.py
@@ -11,14 +11,15 @@
 
 import argparse
 import asyncio
-import contextlib
 import enum
 import itertools
+import os
 import random
 import resource
 import socket
 import struct
 import sys
+import threading
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
@@ -113,8 +114,10 @@
     async def run(self) -> None:
         """Acts until it is cancelled."""
         while True:
-            with contextlib.suppress(OSError):
+            try:
                 await self._visit()
+            except* OSError:  # the forwarder closed or refused the connection
+                pass
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
     async def _visit(self) -> None:
@@ -123,7 +126,9 @@
             if self.behaviour in SLOW_WRITERS:
                 await self._write_slowly(reader, writer)
             elif self.behaviour in FLOODS:
-                await asyncio.gather(_discard(reader), self._flood(writer))
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(_discard(reader))
+                    group.create_task(self._flood(writer))
             elif self.behaviour is Behaviour.UNREAD_ANSWERS:
                 await self._pipeline_unread(writer)
             else:
@@ -157,6 +162,7 @@
         while not writer.is_closing():
             writer.write(b"".join(make() for _ in range(REQUESTS_PER_WRITE)))
             await writer.drain()
+            await asyncio.sleep(0)  # `drain` lets nothing else run while there is room
 
     def _flood_request(self) -> Callable[[], bytes]:
         match self.behaviour:
@@ -197,18 +203,13 @@
 
 
 async def run(target: Target, behaviour: Behaviour, connections: int) -> None:
-    """Runs the clients until their time is over."""
-    loop = asyncio.get_running_loop()
-    end_s = loop.time() + target.seconds
-    tasks = []
-    for number in range(connections):
-        tasks.append(loop.create_task(Client(target, behaviour, number).run()))
-        if number % CONNECT_STEP == CONNECT_STEP - 1:
-            await asyncio.sleep(CONNECT_PAUSE_S)
-    await asyncio.sleep(max(0.0, end_s - loop.time()))
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    """Runs the clients until the process ends."""
+    clients = [Client(target, behaviour, number) for number in range(connections)]
+    async with asyncio.TaskGroup() as group:
+        for number, client in enumerate(clients):
+            group.create_task(client.run())
+            if number % CONNECT_STEP == CONNECT_STEP - 1:
+                await asyncio.sleep(CONNECT_PAUSE_S)
 
 
 def command(target: Target, behaviour: Behaviour, connections: int) -> list[str]:
@@ -239,6 +240,9 @@
     needed = arguments.connections + SPARE_DESCRIPTORS
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(needed, hard_limit), hard_limit))
     seconds = min(arguments.seconds, MAX_SECONDS)
+    end = threading.Timer(seconds, os._exit, (0,))  # whatever the event loop does, the process ends in time
+    end.daemon = True
+    end.start()
     target = Target(host, int(port), arguments.path, arguments.destination, arguments.tenant, seconds, arguments.seed)
     asyncio.run(run(target, arguments.behaviour, arguments.connections))
 
--- a/tests/clients/test_request_reader.py
+++ b/tests/clients/test_request_reader.py
@@ -97,7 +97,7 @@
 class Taker:
     """Takes turns, and asks for more of them."""
 
-    def __init__(self, queue: TurnQueue, turns: int) -> None:
+    def __init__(self, queue: TurnQueue[Taker], turns: int) -> None:
         self.queue, self.turns = queue, turns
 
     def take_turn(self) -> None:
@@ -111,7 +111,7 @@
     """Issue 61 (b): each of hundreds of floods had its share of each iteration, which took seconds together."""
 
     async def scene() -> None:
-        queue = TurnQueue()
+        queue = TurnQueue[Taker]()
         takers = [Taker(queue, 2) for _ in range(3 * MAX_TURNS_PER_ITERATION)]
         for taker in takers:
             queue.add(taker)
--- a/tests/clients/test_small_answers.py
+++ b/tests/clients/test_small_answers.py
@@ -55,7 +55,7 @@
         connection.transport.pause_reading()
         client.sendall(REQUEST * (together - 1) + LAST_REQUEST)
         await asyncio.sleep(0.1)
-        buffer = server.read_buffer[: len(REQUEST) * (together - 1) + len(LAST_REQUEST)]
+        buffer = connection.get_buffer(-1)[: len(REQUEST) * (together - 1) + len(LAST_REQUEST)]
         received_bytes = connection.transport.get_extra_info("socket")._sock.recv_into(buffer)
         client.sendall(REQUEST)  # never read: the connection is closed after the last answer
         await asyncio.sleep(0.05)
