Answers of endpoints and discovery: their memory is bounded, not their length alone

Cause: all fields were kept as objects of their own, each chunk of a body too; the bytes kept for a hand-over and the body were freed at the next call; the bound of a list didn't depend on the memory.

--- a/forwarder/discovery/client.py
+++ b/forwarder/discovery/client.py
@@ -8,7 +8,7 @@
 from forwarder.clients.listener import descriptors_with_input
 from forwarder.config.config import Address
 from forwarder.endpoints.local_errors import LOCAL_ERRORS
-from forwarder.protocol.http1 import MAX_ENDPOINT_LIST_BYTES, BadResponseError, ResponseReader, render_request
+from forwarder.protocol.http1 import MAX_BODY_BYTES, BadResponseError, ResponseReader, render_request
 from forwarder.runtime.retrying_socket import RetryingSocket, SpareSocket, connect
 
 RECONNECT_PAUSES_S = (0.0, 0.02, 0.05)  # short: until an answer has been read, calls use an older endpoint list
@@ -20,10 +20,13 @@
     """One connection to discovery, with at most one request on it.
 
     Bytes that arrive while no answer is awaited belong to no request; the connection is closed then.
+
+    Args:
+        max_answer_bytes: the longest answer.
     """
 
-    def __init__(self) -> None:
-        self.reader = ResponseReader(MAX_ENDPOINT_LIST_BYTES)
+    def __init__(self, max_answer_bytes: int = MAX_BODY_BYTES) -> None:
+        self.reader = ResponseReader(max_answer_bytes)
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[None] | None = None
         """Done when the answer to the request is complete; None if no request is under way."""
@@ -150,12 +153,16 @@
     Args:
         address: the address of discovery.
         spare: a reserve for when no new socket can be created; None for no reserve.
+        max_answer_bytes: the longest answer; a longer one counts as malformed.
     """
 
-    def __init__(self, address: Address, spare: SpareSocket | None = None) -> None:
+    def __init__(
+        self, address: Address, spare: SpareSocket | None = None, max_answer_bytes: int = MAX_BODY_BYTES
+    ) -> None:
         self.address = address
         self.spare = spare
-        self.channel = DiscoveryChannel()
+        self.max_answer_bytes = max_answer_bytes
+        self.channel = DiscoveryChannel(max_answer_bytes)
         self._connecting = asyncio.Lock()
 
     def close(self) -> None:
@@ -217,7 +224,9 @@
     async def _connect(self) -> None:
         async with self._connecting:
             if not self.channel.is_usable():
-                self.channel = await connect(lambda _: DiscoveryChannel(), self.address, spare=self.spare)
+                self.channel = await connect(
+                    lambda _: DiscoveryChannel(self.max_answer_bytes), self.address, spare=self.spare
+                )
 
     async def _try_connect(self, deadline_s: float) -> bool:
         """Connects if necessary; returns False after a local failure, which may pass.
--- a/forwarder/discovery/endpoint_list_watch.py
+++ b/forwarder/discovery/endpoint_list_watch.py
@@ -13,7 +13,7 @@
 from forwarder.discovery.client import DiscoveryClient
 from forwarder.endpoints.local_errors import LOCAL_ERRORS
 from forwarder.protocol.checked_fields import MalformedInputError
-from forwarder.protocol.http1 import BadResponseError, ResponseReader
+from forwarder.protocol.http1 import MAX_ENDPOINT_LIST_BYTES, BadResponseError, ResponseReader
 from forwarder.runtime.failure_span import FailureSpan
 from forwarder.runtime.supervisor import Supervisor
 
@@ -50,7 +50,9 @@
         is_current: bool = False,
         supervisor: Supervisor | None = None,
     ) -> None:
-        self.client = DiscoveryClient(address)
+        self.max_list_bytes = MAX_ENDPOINT_LIST_BYTES
+        """The longest answer; it applies to connections that are opened from now on."""
+        self.client = self._make_client(address)
         self.version = version
         self.on_list = on_list
         self.is_current = is_current
@@ -74,9 +76,17 @@
             self._task.cancel()
             self._task = None
         self.client.close()
-        self.client = DiscoveryClient(address)
+        self.client = self._make_client(address)
         self.subscribe()
 
+    def limit_lists(self, max_list_bytes: int) -> None:
+        """Sets the longest answer of discovery, before the first poll."""
+        self.max_list_bytes = max_list_bytes
+        self.client = self._make_client(self.client.address)
+
+    def _make_client(self, address: Address) -> DiscoveryClient:
+        return DiscoveryClient(address, max_answer_bytes=self.max_list_bytes)
+
     async def _follow(self) -> None:
         while True:
             started_s = time.monotonic()
--- a/forwarder/endpoints/connection.py
+++ b/forwarder/endpoints/connection.py
@@ -245,6 +245,8 @@
             self.owner.keep_idle(self, call.endpoint)
         else:
             self.close(UNREQUESTED_DATA if self.reader.has_surplus else "not kept alive by the endpoint")
+        self.received = bytearray()
+        self.reader.forget_answer()
 
     def _reset_on_close(self, reset: bool) -> None:
         sock = None if self.transport is None else self.transport.get_extra_info("socket")
--- a/forwarder/protocol/http1.py
+++ b/forwarder/protocol/http1.py
@@ -16,6 +16,10 @@
 MAX_FRAMING_FACTOR = 2
 """An answer may have this many times the bytes of its headers and body, for the rest of its lines and chunks."""
 FIRST_LINE_OK = re.compile(rb"HTTP/1\.[01] 200( [^\r\n]*)?\r?\n")
+KEPT_HEADERS = frozenset(
+    {"content-length", "transfer-encoding", "x-ratelimit-wait-ms", "x-over-slots", "x-backend-load"}
+)
+"""The headers of answers that are read. Others are dropped: many short ones cost far more memory than wire bytes."""
 MAX_LIMIT_LEFT = 16.0
 """A load report with a larger share of a limit is ignored. A share is at most 1, but reports are noisy."""
 MAX_LIMIT_PER_S = 1e9
@@ -38,7 +42,7 @@
 
     Attributes:
         status: the status code; 0 until the headers are complete.
-        headers: the headers received so far.
+        headers: the headers received so far, of those that are read.
         begun: whether any byte of the answer has been received.
         complete: whether the whole answer has been received. It does not change any more then.
         keep_alive: whether the connection may carry another request; known when the answer is complete.
@@ -61,7 +65,7 @@
         self._first_bytes = b""
         self._size = 0
         self._received_bytes = 0
-        self._body_parts: list[bytes] = []
+        self._body = bytearray()
 
     def release(self) -> None:
         """Drops the parser, which refers back to this reader, so that both are freed without a garbage collection."""
@@ -70,7 +74,13 @@
     @property
     def body(self) -> bytes:
         """The part of the body received so far."""
-        return b"".join(self._body_parts)
+        return bytes(self._body)
+
+    def forget_answer(self) -> None:
+        """Frees the memory of an answer that has been used; the connection may rest for long."""
+        self.headers = {}
+        self._first_bytes = b""
+        self._body = bytearray()
 
     def feed(self, data: bytes) -> None:
         """Parses the next bytes of the connection.
@@ -124,7 +134,9 @@
         if self.complete:
             return
         self._size += len(name) + len(value)
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        lower_name = name.decode("latin-1").lower()
+        if lower_name in KEPT_HEADERS:
+            self.headers[lower_name] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Stores the status; called by the parser."""
@@ -137,7 +149,7 @@
             return
         self._size += len(body)
         if self._size <= self.max_bytes:
-            self._body_parts.append(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Marks the answer as complete, unless it is an interim one; called by the parser."""
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -285,6 +285,7 @@
         plan = plan_memory(self.config.memory_mb * BYTES_PER_MB, base_bytes, self.config.disk_bytes, connections)
         self.memory_plan = plan
         self.server.request_memory.set_limit(plan.request_bytes, self.server.max_connections)
+        self.watch.limit_lists(plan.endpoint_list_bytes)
         log.info(
             "memory: %d kB allowed, %d kB used; at most %d kB for requests in part, %d kB for an endpoint list, "
             "%d kB for requests that are handed over",
--- a/tests/endpoints/test_connection.py
+++ b/tests/endpoints/test_connection.py
@@ -19,7 +19,7 @@
 from tests.endpoints.peers import OK_ANSWER, FullSocket, HalfWrittenTransport, SocketEndpoint, make_call, make_pool
 from tests.engine_scene import play_with_platform
 from tests.platforms import Platform
-from tests.sockets import PATIENCE, Peer, Request
+from tests.sockets import PATIENCE, Answer, Peer, Request, always
 
 
 def test_a_call_whose_connection_breaks_before_its_last_byte_is_written_never_ran() -> None:
@@ -41,6 +41,27 @@
     asyncio.run(scene())
 
 
+def test_an_idle_connection_keeps_nothing_of_the_last_answer() -> None:
+    """Found with issue 61 (a): each idle connection kept up to 64 kB twice until its next call."""
+
+    async def scene() -> None:
+        ends: list[AttemptEnded] = []
+        peer = await Peer(always(Answer(200, body=b"x" * 60_000))).start()
+        pool = make_pool(ends)
+        pool.update_addresses({1: Address("127.0.0.1", peer.port)})
+        pool.start(make_call(Clock(), "m"))
+        async with asyncio.timeout(PATIENCE):
+            while not ends:
+                await asyncio.sleep(0.01)
+        (connection,) = pool.connections
+        assert not connection.is_closing()
+        assert not connection.received
+        assert not connection.reader.body
+        pool.close()
+
+    asyncio.run(scene())
+
+
 def test_an_answer_without_a_length_ends_with_its_connection() -> None:
     """Guards against a wrong outcome: a fully delivered batch was taken for a broken call that may have run."""
 
