Clients: whoever has left is noticed behind unread input, and nothing more is sent on

Callers saw: 125 connections of clients that had left with much unread stayed open for good, of 256 descriptors; requests behind the first were passed on after their client had left. Cause: reading pauses while requests wait, so the end behind them was never read. What it has sent and was not answered is dropped. What may still be sent: a message whose round began before the end came. Its 202 is written, and it is delivered.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import select
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from contextlib import suppress
 from http import HTTPStatus
 from typing import Protocol
 
 from forwarder.clients.arrival_time import ArrivalEstimate
-from forwarder.clients.listener import fileno
+from forwarder.clients.listener import descriptor
 from forwarder.clients.request_reader import RequestReader
 from forwarder.clients.submission import ClientRequest
 from forwarder.clients.turn_queue import TurnQueue
@@ -128,6 +128,8 @@
         by the event loop.
         """
         self.peer_ended = True
+        self.reader.abandon()
+        self.server.note_held(self)
         if self._unsent.undo():
             self.abort("its answer could not leave before its client did")
             return False
@@ -137,6 +139,14 @@
         self.answer(HTTPStatus.SERVICE_UNAVAILABLE, "withdrawn")
         return False
 
+    def client_left(self) -> None:
+        """Closes the connection of a client that has left, and drops what it has sent and was not answered.
+
+        For a client whose end waits in the kernel, behind input that has not been read.
+        """
+        self.eof_received()
+        self.close("its client has left")
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read; called by the event loop."""
         self._arrivals.note_readable(self.server.clock())
@@ -162,7 +172,11 @@
 
     def take_turn(self) -> None:
         """Goes on with requests that a client has sent behind others; called by the queue of turns."""
-        if not self.is_closed():
+        if self.is_closed():
+            return
+        if connections_left([self]):
+            self.client_left()
+        else:
             self._serve()
 
     def pause_writing(self) -> None:
@@ -185,6 +199,10 @@
         """Returns whether the next request to be answered has come in part only, so that it may be refused."""
         return self.current_request is None and self.reader.partial is not None and not self.is_closed()
 
+    def has_paused_reading(self) -> bool:
+        """Returns whether an end of the connection would not be read now."""
+        return not self.is_closed() and not self._is_reading()
+
     def is_idle(self) -> bool:
         """Returns whether the connection is between requests."""
         return self.current_request is None and self.reader.partial is None and not self.reader.has_input()
@@ -403,22 +421,23 @@
     )
 
 
-def disconnected(waiting: Mapping[str, ClientConnection]) -> list[str]:
-    """Returns the ids of waiting messages whose clients have closed their sending side or the connection.
+def connections_left(connections: Iterable[ClientConnection]) -> list[ClientConnection]:
+    """Returns the connections that are closed, or whose clients have closed them or their sending side.
 
-    The end of the connection may wait unread in the kernel: after a stall of the event loop, the kernel may hold both a
-    request and the end that followed it. One system call checks all connections. If it fails, a message is accepted
-    that its client may have given up, which does no harm.
-
-    Args:
-        waiting: connections of the messages that wait for an answer, by message id.
+    The end of the connection may wait unread in the kernel: after a stall of the event loop, or while reading is
+    paused, the kernel may hold both requests and the end that followed them. One system call checks all connections. If
+    it fails, a message is accepted that its client may have given up, which does no harm.
     """
     hangup_poll = select.poll()
-    ids = {}
-    for message_id, connection in waiting.items():
-        if not connection.is_closed():
-            descriptor = fileno(connection.transport)
-            ids[descriptor] = message_id
-            hangup_poll.register(descriptor, select.POLLRDHUP)
-    unread_ids = [ids[descriptor] for descriptor, _ in ready_now(hangup_poll) or ()] if ids else []
-    return [message_id for message_id, connection in waiting.items() if connection.is_closed()] + unread_ids
+    open_connections = {}
+    left = []
+    for connection in connections:
+        if connection.is_closed():
+            left.append(connection)
+            continue
+        number = descriptor(connection.transport)
+        if number >= 0:
+            open_connections[number] = connection
+            hangup_poll.register(number, select.POLLRDHUP)
+    ended = (ready_now(hangup_poll) or ()) if open_connections else ()
+    return left + [open_connections[number] for number, _ in ended]
--- a/forwarder/clients/server.py
+++ b/forwarder/clients/server.py
@@ -8,7 +8,7 @@
 from functools import partial
 from http import HTTPStatus
 
-from forwarder.clients.client_connection import CLIENT_TIMEOUT_US, ClientConnection
+from forwarder.clients.client_connection import CLIENT_TIMEOUT_US, ClientConnection, connections_left
 from forwarder.clients.eviction_order import EvictionOrder
 from forwarder.clients.listener import Listener, descriptor, descriptors_with_input
 from forwarder.clients.request_memory import RequestMemory
@@ -260,7 +260,9 @@
     # Closing
 
     def sweep(self) -> None:
-        """Closes connections whose clients send nothing or a partial request, or do not read their answers."""
+        """Closes connections whose clients have left, send no complete request, or do not read their answers."""
+        for connection in connections_left(each for each in self.connections if each.has_paused_reading()):
+            connection.client_left()
         stalled_before_us = self.clock() - STALL_TIMEOUT_US
         silent = [each for each in self.connections if _is_silent(each, stalled_before_us)]
         unread_connections = self._with_unread_input(silent)
--- a/forwarder/runtime/intake.py
+++ b/forwarder/runtime/intake.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from forwarder.clients.client_connection import ClientConnection, disconnected
+from forwarder.clients.client_connection import ClientConnection, connections_left
 from forwarder.clients.submission import Submission
 from forwarder.decisions.actions import FailMessage, RejectMessage
 from forwarder.decisions.events import Event, MessageArrived, MessageWithdrawn, NoticeAcknowledged
@@ -102,8 +102,10 @@
 
     def withdraw_disconnected(self) -> None:
         """Withdraws the submissions whose clients have disconnected: a 202 could not reach them."""
-        for message_id in disconnected({message_id: client for message_id, (_, client) in self.pending.items()}):
-            self.withdraw(message_id)
+        ids = {client: message_id for message_id, (_, client) in self.pending.items()}
+        for client in connections_left(ids):
+            client.client_left()
+            self.withdraw(ids[client])
 
     def take_pending(self) -> PendingSubmissions:
         """Returns the submissions since the last round, and starts a new collection."""
--- a/tests/clients/test_client_connection.py
+++ b/tests/clients/test_client_connection.py
@@ -108,6 +108,34 @@
     asyncio.run(scene())
 
 
+def test_requests_behind_the_first_are_not_passed_on_once_their_client_has_left() -> None:
+    """Issue 61 (c): a client left with requests unread; they were passed on, or its connection stayed for good."""
+
+    async def scene() -> None:
+        submitted: list[ClientConnection] = []
+        server = ClientServer(
+            parse_settings(SETTINGS), Clock(), 10, lambda submission, connection: submitted.append(connection)
+        )
+        sock = await bind(Address("127.0.0.1", 0))
+        server.listen(sock)
+        client = socket.create_connection(sock.getsockname())
+        client.sendall(b"".join(message(f"m{number}") for number in range(100)))
+        async with asyncio.timeout(20):
+            while not submitted:
+                await asyncio.sleep(0)
+            client.close()
+            await asyncio.sleep(0.05)
+            submitted[0].answer(HTTPStatus.ACCEPTED)
+            while server.connections:
+                await asyncio.sleep(0.01)
+        assert len(submitted) == 1
+        assert not server.turns
+        assert server.request_memory.used_bytes == 0
+        server.close()
+
+    asyncio.run(scene())
+
+
 CLIENT_STEPS = ["message", "half", "rest", "junk", "answer", "let go", "half-close", "gone"]
 
 
