Withdrawn messages: their ids may come again

Callers saw: an id whose client had left before its 202 could be sent was told 202 when it came again, and was never sent, with no notice: lost. Cause: `_withdraw_unanswered` ended the message with the record of a delivered one, so `knows` took the id for taken on. A request with the id of a pending one was refused even if the client of that one had left. Change: a withdrawal is written as an attempt's end with number -1 before the record of the end; both together forget the id. A message that was refused by endpoints only, and so surely has not run, is withdrawn too. A pending request whose client has left makes room. The store's model has the new step.

--- a/forwarder/runtime/effects.py
+++ b/forwarder/runtime/effects.py
@@ -251,15 +251,15 @@
             client.answer(HTTPStatus.ACCEPTED, on_unsent=partial(self._withdraw_unanswered, message_id))
 
     def _withdraw_unanswered(self, message_id: str) -> None:
-        """Withdraws a message whose client disconnected before its 202 was sent, unless a call was made with it.
+        """Withdraws a message whose client disconnected before its 202 was sent, unless it may have run.
 
         The client may have submitted it elsewhere, so its end here does not count (PROTOCOL).
         """
         message = self.store.messages.get(message_id)
-        if message is None or message.in_flight or message.attempts > message.local_failure_count:
+        if message is None or not message.has_surely_not_run:
             return
         self.reasons.note(Subject.REFUSAL, "its client left before the 202 could", message_id)
-        self.store.end_message(message_id)
+        self.store.withdraw_message(message_id)
         self.post(MessageWithdrawn(message_id))
 
     def _run_endpoint_action(self, action: EndpointAction) -> None:
--- a/forwarder/runtime/intake.py
+++ b/forwarder/runtime/intake.py
@@ -62,7 +62,7 @@
         if self.store.knows(submission.id):
             client.answer(HTTPStatus.ACCEPTED)  # it was accepted before, or has already ended
             return
-        if submission.id in self.pending:
+        if self._is_pending(submission.id):
             self.reject_unavailable(submission, client, "handed in twice at once")
             return
         if not self._has_room(submission):
@@ -88,6 +88,17 @@
             )
         )
 
+    def _is_pending(self, message_id: str) -> bool:
+        """Returns whether a client waits for the answer to a message; one that has left makes room for its return."""
+        if message_id not in self.pending:
+            return False
+        _, client = self.pending[message_id]
+        if not connections_left([client]):
+            return True
+        client.client_left()
+        self.withdraw(message_id)
+        return False
+
     def _has_room(self, submission: Submission) -> bool:
         held_count = len(self.store.messages) + len(self.pending)
         size_bytes = len(submission.body) + sum(len(pending.body) for pending, _ in self.pending.values())
--- a/forwarder/storage/messages.py
+++ b/forwarder/storage/messages.py
@@ -63,6 +63,11 @@
         """The number of attempts that failed on this machine."""
         return len(self.local_failures)
 
+    @property
+    def has_surely_not_run(self) -> bool:
+        """Whether no attempt may have taken effect, or may still."""
+        return not self.in_flight and self.maybe_ran_at_us < 0 and not self.is_doubtful
+
     @property
     def stored_bytes(self) -> int:
         """An upper bound on the size of the message in a snapshot."""
--- a/forwarder/storage/replay.py
+++ b/forwarder/storage/replay.py
@@ -7,7 +7,13 @@
 
 from forwarder.decisions.settings import MessageClass
 from forwarder.storage.recovery import RecoveredJournal
-from forwarder.storage.schema import AttemptEndedRecord, AttemptStartedRecord, StoredRecord, decode_record
+from forwarder.storage.schema import (
+    WITHDRAWN_ATTEMPT,
+    AttemptEndedRecord,
+    AttemptStartedRecord,
+    StoredRecord,
+    decode_record,
+)
 from forwarder.storage.state import StoredState
 
 log = logging.getLogger("forwarder.store")
@@ -58,7 +64,7 @@
     def _note_orphan(self, record: StoredRecord) -> None:
         if not self.recovered.is_damaged or not isinstance(record, AttemptStartedRecord | AttemptEndedRecord):
             return
-        if not self.state.knows(record.message_id):
+        if record.attempt != WITHDRAWN_ATTEMPT and not self.state.knows(record.message_id):
             self.orphaned_ids.add(record.message_id)
 
     def _log_damage(self) -> None:
--- a/forwarder/storage/schema.py
+++ b/forwarder/storage/schema.py
@@ -46,6 +46,10 @@
     endpoint: str
 
 
+WITHDRAWN_ATTEMPT = -1
+"""The number in an `AttemptEndedRecord` that announces that the message is withdrawn; older versions ignore it."""
+
+
 class AttemptEndedRecord(NamedTuple):
     """An attempt has an outcome."""
 
--- a/forwarder/storage/state.py
+++ b/forwarder/storage/state.py
@@ -7,6 +7,7 @@
 from forwarder.storage.capacity import LISTED_ENDPOINT_BYTES, StateSizes
 from forwarder.storage.messages import AcceptedMessage, Ejection, PendingNotice
 from forwarder.storage.schema import (
+    WITHDRAWN_ATTEMPT,
     AttemptEndedRecord,
     AttemptStartedRecord,
     EjectionRecord,
@@ -57,6 +58,8 @@
         """The time when operators disabled an endpoint, by name."""
         self.key_backoffs: dict[str, int] = {}
         """The time until which the next message of a key waits, by key; may include expired ones."""
+        self.withdrawn_ids: set[str] = set()
+        """Ids of messages of which the next record says that they are over, and that are then forgotten."""
         self.sizes = StateSizes()
 
     def apply(self, record: StoredRecord) -> None:
@@ -142,6 +145,7 @@
 
     def _apply_message_accepted(self, record: MessageAcceptedRecord) -> None:
         message = record.message
+        self.withdrawn_ids.discard(message.id)
         earlier = self.messages.get(message.id)  # a snapshot may contain it too
         if earlier is not None:
             self.sizes.remove_message(earlier)
@@ -149,11 +153,15 @@
         self.sizes.add_message(message)
 
     def _apply_attempt_started(self, record: AttemptStartedRecord) -> None:
+        self.withdrawn_ids.discard(record.message_id)
         message = self.messages.get(record.message_id)
         if message is not None:
             message.start_attempt(record.attempt, record.started_us, record.endpoint)
 
     def _apply_attempt_ended(self, record: AttemptEndedRecord) -> None:
+        if record.attempt == WITHDRAWN_ATTEMPT:
+            self.withdrawn_ids.add(record.message_id)
+            return
         message = self.messages.get(record.message_id)
         if message is not None:
             message.end_attempt(record.attempt, record.may_have_run)
@@ -167,7 +175,11 @@
         self.key_backoffs[record.key] = max(record.until_us, self.key_backoffs.get(record.key, 0))
 
     def _apply_message_ended(self, record: MessageEndedRecord) -> None:
-        self._end_message(record.message_id)
+        if record.message_id in self.withdrawn_ids:
+            self.withdrawn_ids.discard(record.message_id)
+            self.discard_message(record.message_id)
+        else:
+            self._end_message(record.message_id)
 
     def _apply_ended_messages(self, record: EndedMessagesRecord) -> None:
         self._add_ended_ids(record.message_ids)
--- a/forwarder/storage/store.py
+++ b/forwarder/storage/store.py
@@ -25,6 +25,7 @@
 from forwarder.storage.replay import Replay
 from forwarder.storage.schema import (
     NOT_SET_US,
+    WITHDRAWN_ATTEMPT,
     AttemptEndedRecord,
     AttemptStartedRecord,
     EjectionRecord,
@@ -190,10 +191,19 @@
         self._change(KeyBackoffRecord(key, until_us))
 
     def end_message(self, message_id: str) -> None:
-        """Ends a message that needs no notice, for example because it was delivered or withdrawn."""
+        """Ends a message that needs no notice, since it was delivered."""
         if message_id in self.messages:
             self._change(MessageEndedRecord(message_id))
 
+    def withdraw_message(self, message_id: str) -> None:
+        """Forgets a message that has surely not run and whose client never heard that it was accepted.
+
+        If its id comes again, it is a new message. Older versions read it as a message that ended.
+        """
+        if message_id in self.messages:
+            self._change(AttemptEndedRecord(message_id, WITHDRAWN_ATTEMPT, False))
+            self._change(MessageEndedRecord(message_id))
+
     def add_pending_notice(self, message_id: str, state: str, retry_after_ms: int) -> None:
         """Ends a message with a notice, which is pending until the platform acknowledges it.
 
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -11,7 +11,7 @@
 
 from forwarder.storage import journal_writer
 from forwarder.storage.record_format import encode_record_frame
-from forwarder.storage.schema import MessageEndedRecord, encode_record
+from forwarder.storage.schema import WITHDRAWN_ATTEMPT, AttemptEndedRecord, MessageEndedRecord, encode_record
 from forwarder.storage.store import MessageStore
 from tests.storage.folders import MAX_BYTES, accepted_message
 
@@ -20,6 +20,7 @@
     "start_attempt",
     "end_attempt",
     "end",
+    "withdraw",
     "add_notice",
     "acknowledge_notice",
     "toggle_endpoint",
@@ -72,6 +73,13 @@
         self.ended.add(name)
         del self.messages[name]
 
+    def withdraw(self, name: str) -> None:
+        """Withdraws a message that has surely not run; its id may be accepted again."""
+        if name not in self.messages or not self.store.messages[name].has_surely_not_run:
+            return
+        self.store.withdraw_message(name)
+        del self.messages[name]
+
     def add_notice(self, name: str) -> None:
         if name not in self.messages:
             return
@@ -137,3 +145,36 @@
             store_and_model.store.flush()
             store_and_model.check()
         store_and_model.store.close()
+
+
+@pytest.mark.parametrize("restart", [False, True])
+def test_an_id_that_was_withdrawn_is_not_known_and_one_that_was_delivered_is(tmp_path: Path, restart: bool) -> None:
+    """Issue 61 (c): a withdrawn id was told 202 when it came again, and was never sent."""
+    store = MessageStore(tmp_path, MAX_BYTES).take_ownership()
+    for name in ("withdrawn", "delivered", "accepted again"):
+        store.accept(accepted_message(name))
+    store.withdraw_message("withdrawn")
+    store.withdraw_message("accepted again")
+    store.accept(accepted_message("accepted again"))
+    for name in ("delivered", "accepted again"):
+        store.record_attempt(store.messages[name], 0, 5, "s1")
+        store.end_message(name)
+    assert store.flush()
+    if restart:
+        store = MessageStore(tmp_path, MAX_BYTES)
+    assert not store.knows("withdrawn")
+    assert store.knows("delivered")
+    assert store.knows("accepted again")
+
+
+def test_a_withdrawal_that_was_cut_off_does_not_let_a_delivered_message_run_again(tmp_path: Path) -> None:
+    """Guards against a duplicate: only the first of a withdrawal's two records had been written."""
+    store = MessageStore(tmp_path, MAX_BYTES).take_ownership()
+    store.accept(accepted_message("m"))
+    store.writer.append(AttemptEndedRecord("m", WITHDRAWN_ATTEMPT, False))
+    store.close()
+    store = MessageStore(tmp_path, MAX_BYTES).take_ownership()
+    store.record_attempt(store.messages["m"], 0, 5, "s1")
+    store.end_message("m")
+    store.close()
+    assert MessageStore(tmp_path, MAX_BYTES).knows("m")
