Upgrade: requests in part take a bounded part of memory in the hand-over

Cause: the description of a hand-over has the bytes of all requests in part, as base64 in JSON: four times over. Change: before it, the largest requests in part get 503 until the rest fits into the plan's `handover_bytes`.

--- a/forwarder/runtime/context.py
+++ b/forwarder/runtime/context.py
@@ -9,6 +9,7 @@
 from forwarder.clients.drain import ClientDrain
 from forwarder.clients.server import ClientServer
 from forwarder.config.config import EndpointList
+from forwarder.decisions.memory_plan import MemoryPlan
 from forwarder.discovery.endpoint_list_watch import EndpointListWatch
 from forwarder.discovery.notifier import Notifier
 from forwarder.runtime.decision_loop import DecisionLoop
@@ -31,6 +32,7 @@
     """The socket that clients connect to."""
     handover: HandoverState | None
     """The state that the previous process handed over; None if this process started without a hand-over."""
+    memory_plan: MemoryPlan
     reasons: ReasonCounts
     invariants: Invariants
     effects: Effects
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -21,7 +21,7 @@
 from forwarder.config.config import BYTES_PER_MB, Config, EndpointList
 from forwarder.decisions.dispatcher import Dispatcher
 from forwarder.decisions.events import Event
-from forwarder.decisions.memory_plan import plan_memory
+from forwarder.decisions.memory_plan import MemoryPlan, plan_memory
 from forwarder.decisions.settings import Settings
 from forwarder.discovery.endpoint_list_watch import EndpointListWatch
 from forwarder.discovery.notifier import Notifier
@@ -110,6 +110,7 @@
         self.checks = PeriodicChecks(self, self.folder_ownership)
         self.extensions += [make_extension(self) for make_extension in extensions]
         self.watch.version = recover_state(self)
+        self.memory_plan = self._plan_memory()
         self.startup_progress = StartupProgress(self.clock(), self.store.messages)
 
     def _open_store(self, settings: Settings) -> MessageStore:
@@ -279,18 +280,21 @@
             self.pool.max_connections,
         )
 
-    def _apply_memory_plan(self) -> None:
+    def _plan_memory(self) -> MemoryPlan:
+        """Returns the plan for the memory that is left now, before anybody is served."""
         base_bytes = own_memory_bytes() or USUAL_BASE_BYTES
         connections = self.server.max_connections + self.pool.max_connections
-        plan = plan_memory(self.config.memory_mb * BYTES_PER_MB, base_bytes, self.config.disk_bytes, connections)
-        self.memory_plan = plan
+        return plan_memory(self.config.memory_mb * BYTES_PER_MB, base_bytes, self.config.disk_bytes, connections)
+
+    def _apply_memory_plan(self) -> None:
+        plan = self.memory_plan = self._plan_memory()
         self.server.request_memory.set_limit(plan.request_bytes, self.server.max_connections)
         self.watch.limit_lists(plan.endpoint_list_bytes)
         log.info(
-            "memory: %d kB allowed, %d kB used; at most %d kB for requests in part, %d kB for an endpoint list, "
+            "memory: %d kB allowed, %s kB used; at most %d kB for requests in part, %d kB for an endpoint list, "
             "%d kB for requests that are handed over",
             plan.limit_bytes // 1000,
-            base_bytes // 1000,
+            "unknown" if (own_bytes := own_memory_bytes()) is None else own_bytes // 1000,
             plan.request_bytes // 1000,
             plan.endpoint_list_bytes // 1000,
             plan.handover_bytes // 1000,
--- a/forwarder/runtime/handover.py
+++ b/forwarder/runtime/handover.py
@@ -53,6 +53,7 @@
         if runtime.run_state.is_stopping or runtime.run_state.is_closed:
             return
         self.settle()
+        runtime.server.limit_partial_requests(runtime.memory_plan.handover_bytes)
         if not runtime.loop.sync_barrier():
             return  # calls and responses that wait for the sync cannot be handed over
         runtime.store.retry()
--- a/tests/runtime/test_incident_memory.py
+++ b/tests/runtime/test_incident_memory.py
@@ -240,6 +240,27 @@
     play(scene, tmp_path)
 
 
+def test_requests_in_part_leave_both_processes_of_an_upgrade_within_their_memory(tmp_path: Path) -> None:
+    """Found with issue 61 (a): the description of a hand-over held all requests in part several times over."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        await start_endpoint(platform, always(OK))
+        node = await start_with_limits(folder, platform, 1024)
+        crowd = asyncio.create_task(run_hostile_clients(node, Behaviour.HALF_BODY, 480))
+        await asyncio.sleep(CALM_S)
+        successor = node.successor()
+        with MemoryWatch(node.process.pid) as memory:
+            end_with_scene(await successor.start(ready=False))
+            memory.add(successor.process.pid)
+            await successor.until_ready()
+            assert await node.process.wait() == 0
+            await crowd
+        assert (await successor.submit("after", "status"))[0] == 202
+        assert memory.peak_mb() <= LEAST_MEMORY_MB
+
+    play(scene, tmp_path)
+
+
 def test_endpoints_answers_of_many_short_fields_leave_a_process_within_its_memory(tmp_path: Path) -> None:
     """Found with issue 61 (a): the fields of endpoints' answers cost many times their length on the wire."""
 
