--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -173,13 +173,16 @@
     verdicts = []
     for seed in range(first, first + seeds):
         folder = out / str(seed)
-        result = run_plan(plan.make(soak.draw_scenario(seed, nodes, shape)), folder, program.resolve(), None)
-        verdict = soak.SeedVerdict(result, soak.find_log_violations(folder))
+        drawn = soak.draw_scenario(seed, nodes, shape)
+        result = run_plan(plan.make(drawn), folder, program.resolve(), None)
+        verdict = soak.SeedVerdict(result, soak.find_log_violations(folder), drawn.fleet.memory_mb)
         verdicts.append(verdict)
         outcome = ("passed" if verdict.passed else "FAILED") + ("" if result.is_valid else ", does not count (lag)")
         click.echo(
             f"seed {seed}: {outcome}; {result.metrics['delivered']} of {result.metrics['asked']} delivered, "
-            f"{result.costs['starts']} starts, event loop lag of the lab at most {result.lateness_ms['most']:.0f} ms"
+            f"{result.costs['starts']} starts, {drawn.fleet.sockets} descriptors, "
+            f"memory at most {result.costs['own_memory_mb_most']:.1f} MB of {drawn.fleet.memory_mb}, "
+            f"event loop lag of the lab at most {result.lateness_ms['most']:.0f} ms"
         )
         for line in verdict.lines():
             click.echo(f"  {line}")
--- a/lab/clients.py
+++ b/lab/clients.py
@@ -14,6 +14,7 @@
 from lab.discovery import Notice
 from lab.event_log import EventKind, EventLog
 from lab.front import ForwarderStatus, Front
+from lab.hostile_clients import ID_PREFIX
 from lab.plan import DEADLINE_S, LATENCY_OBJECTIVE_S, REFUND_CLASS, Arrival, Plan
 
 ANSWER_TIMEOUT_S = 0.4
@@ -116,7 +117,9 @@
         return any(not each.is_over and each.deadline_s + END_GRACE_S > now_s for each in self.submissions.values())
 
     def is_submitted(self, message_id: str, node: str, destination: int) -> bool:
-        """Whether a message was submitted to this forwarder for this destination."""
+        """Whether a message was submitted to this forwarder for this destination, or by hostile clients."""
+        if message_id.startswith(ID_PREFIX):
+            return True
         submission = self.submissions.get(message_id)
         if submission is None or submission.forwarder is None:
             return False
--- a/lab/forwarder_process.py
+++ b/lab/forwarder_process.py
@@ -10,6 +10,7 @@
 import resource
 import signal
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -62,6 +63,8 @@
     event_log: EventLog
     launcher: Launcher
     admin_address: Address
+    on_started: Callable[[int], None]
+    """Called with the id of each process that was started."""
     extensions: str | None = None
     """The content of its extensions file; None without one."""
     clock_skew_s: float = 0.0
@@ -163,6 +166,7 @@
         self.started_at_s = asyncio.get_running_loop().time()
         self.write_config()
         self.process = await self._spawn()
+        self.on_started(self.process.pid)
         sockets = self.config.limits.sockets
         with contextlib.suppress(ProcessLookupError):
             resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
--- a/lab/memory_watch.py
+++ b/lab/memory_watch.py
@@ -25,7 +25,10 @@
 
 
 class MemoryWatch:
-    """Records the largest memory of each watched process, from a thread of its own, while the context is open."""
+    """Records the largest memory of each watched process, from a thread of its own.
+
+    It watches from `start` to `stop`, or while its context is open.
+    """
 
     def __init__(self, *pids: int) -> None:
         self.peak_bytes: dict[int, int] = dict.fromkeys(pids, 0)
@@ -41,15 +44,24 @@
         """Returns the largest memory of any watched process."""
         return max(self.peak_bytes.values(), default=0) / BYTES_PER_MB
 
-    def __enter__(self) -> Self:
+    def start(self) -> None:
+        """Starts to watch."""
         self._thread.start()
+
+    def stop(self) -> None:
+        """Stops watching, if it was started."""
+        self._is_over.set()
+        if self._thread.is_alive():
+            self._thread.join()
+
+    def __enter__(self) -> Self:
+        self.start()
         return self
 
     def __exit__(
         self, kind: type[BaseException] | None, error: BaseException | None, traceback: TracebackType | None
     ) -> None:
-        self._is_over.set()
-        self._thread.join()
+        self.stop()
 
     def _watch(self) -> None:
         while not self._is_over.wait(WATCH_INTERVAL_S):
--- a/lab/party_faults.py
+++ b/lab/party_faults.py
@@ -4,14 +4,19 @@
 
 import asyncio
 import contextlib
+import os
 from collections.abc import Iterable
 from dataclasses import replace
 
 from lab.event_log import EventKind
 from lab.front import UP_REQUEST
+from lab.hostile_clients import Behaviour, Target
+from lab.hostile_clients import command as hostile_command
+from lab.launcher import ROOT
 from lab.network import Link, LinkFault
-from lab.plan import ScheduledFault
+from lab.plan import STATUS_CLASS, ScheduledFault
 from lab.process_faults import FaultHandler
+from lab.scenario import Fault
 from lab.testbed import Testbed
 
 DRAIN_STEP_S = 3.0
@@ -40,6 +45,7 @@
             "discovery": self.degrade_discovery,
             "call": self.call_admin,
             "crowd": self.crowd,
+            "hostile": self.run_hostile_clients,
         }
         """By the scenario's kind of fault."""
 
@@ -180,6 +186,30 @@
             writer.close()
         self.event_log.note(EventKind.FAULT_HEALED)
 
+    async def run_hostile_clients(self, step: ScheduledFault) -> None:
+        """Run clients that misbehave, in a process of their own for each forwarder, until their time is over."""
+        fault = step.fault
+        assert fault.behaviour is not None
+        await asyncio.gather(
+            *(self._run_hostile_clients(name, step.at_s, fault, fault.behaviour) for name in step.targets)
+        )
+        self.event_log.note(EventKind.FAULT_HEALED)
+
+    async def _run_hostile_clients(self, node: str, at_s: float, fault: Fault, behaviour: Behaviour) -> None:
+        host, port = self.testbed.front.forwarders[node].address
+        target = Target(
+            host, port, STATUS_CLASS, self.testbed.plan.destinations[0].number, "", fault.for_s or 0.0, int(at_s * 1000)
+        )
+        ended = asyncio.Event()
+        await self.testbed.launcher.start(
+            hostile_command(target, behaviour, fault.connections or 1),
+            ROOT,
+            dict(os.environ),
+            self.testbed.out / "nodes" / node / "hostile.log",
+            lambda status: ended.set(),
+        )
+        await ended.wait()
+
     async def _join_crowd(self, writers: list[asyncio.StreamWriter], node: str, sends_request: bool) -> None:
         with contextlib.suppress(OSError):
             _, writer = await asyncio.open_connection(*self.testbed.front.forwarders[node].address)
--- a/lab/result.py
+++ b/lab/result.py
@@ -79,12 +79,15 @@
 
 
 def sum_costs(
-    forwarders: Sequence[ForwarderProcess], samples: Sequence[ProcessSample], exchange: DatagramExchange | None
+    forwarders: Sequence[ForwarderProcess],
+    samples: Sequence[ProcessSample],
+    exchange: DatagramExchange | None,
+    own_memory_mb: float,
 ) -> Costs:
     """Return what the forwarders and the lab used over the run, with the unit at the end of each name.
 
     For the forwarders: mean and maximum processor time of a forwarder; maximum memory, descriptors and disk space of a
-    process; numbers of starts and crashes.
+    process; numbers of starts and crashes. `own_memory_mb` is the maximum without mapped files, at a short interval.
     """
     lab_usage = resource.getrusage(resource.RUSAGE_SELF)
     cpu_by_node = _cpu_s_by_node(samples)
@@ -93,6 +96,7 @@
         "cpu_s_mean": sum(cpu_s) / max(1, len(cpu_s)),
         "cpu_s_most": max(cpu_s, default=0.0),
         "memory_mb_most": max((sample.memory_bytes for sample in samples), default=0) / 1e6,
+        "own_memory_mb_most": own_memory_mb,
         "descriptors_most": max((sample.descriptors for sample in samples), default=0),
         "disk_kb_most": max((sample.disk_bytes for sample in samples), default=0) / 1000,
         "starts": sum(forwarder.starts for forwarder in forwarders),
--- a/lab/run.py
+++ b/lab/run.py
@@ -107,7 +107,9 @@
             forgotten_messages=len(checked.forgotten),
             metrics=measured,
             lateness_ms={"p50": lateness.median_ms, "p99": lateness.p99_ms, "most": lateness.max_ms},
-            costs=sum_costs(list(testbed.forwarders.values()), self.sampler.samples, testbed.exchange),
+            costs=sum_costs(
+                list(testbed.forwarders.values()), self.sampler.samples, testbed.exchange, testbed.memory.peak_mb()
+            ),
             link_events=dict(sorted(testbed.network.counts.items())),
             broken_limits=broken_limits(scenario.limits, checked.findings, measured),
             is_valid=lateness.max_ms <= scenario.limits.late_ms,
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -11,6 +11,7 @@
 from msgspec import Meta
 
 from lab.errors import ScenarioError
+from lab.hostile_clients import Behaviour
 from lab.shim import CALLS
 
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
@@ -151,6 +152,7 @@
         "errors",
         "clock",
         "crowd",
+        "hostile",
         "reload",
         "signals",
     ]
@@ -187,10 +189,12 @@
     call: str | None = None
     """The system call that fails (`CALLS` in lab/shim.py)."""
     connections: Count | None = None
-    """Number of clients of a crowd that connect to each forwarder at the same time and stay connected.
+    """Number of clients that connect to each forwarder at the same time.
 
-    They request the status or nothing at all.
+    Those of a crowd stay connected, and request the status or nothing at all. Hostile ones do as `behaviour` says.
     """
+    behaviour: Behaviour | None = None
+    """What hostile clients do (`lab/hostile_clients.py`)."""
     errno: str = "EIO"
     rate: Share = 1.0
     """Share of those calls that fail."""
@@ -243,6 +247,7 @@
     "errors": ("for_s", "call"),
     "clock": ("clock_s",),
     "crowd": ("for_s", "connections"),
+    "hostile": ("for_s", "connections", "behaviour"),
 }
 """Keys that each kind of fault requires."""
 
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -1,7 +1,7 @@
 """The fault soak: random schedules of overlapping faults, on a small fleet of real processes, checked by the rules.
 
-Each seed has its own schedule. A seed fails if the rules find a violation, if a process crashed, if the program counted
-a violation of its own invariants, or if a log contains an unexpected error.
+Each seed has its own schedule. A seed fails if the rules find a violation, if a process crashed or had more memory than
+its settings allow, if the program counted a violation of its own invariants, or if a log contains an unexpected error.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Literal
 
+from lab.hostile_clients import FLOODS, SLOW_WRITERS, Behaviour
 from lab.result import Result
 from lab.scenario import Endpoints, Fault, Fleet, Front, Limits, Load, Scenario, Time
 
@@ -52,6 +53,9 @@
 
 Calls that sending a notice needs are left out, because a notice is due at a fixed time.
 """
+MEMORY_MB = (32, 32, 48, 80, 192)
+"""Memory of a forwarder: from the least to the most that the platform gives (TERMS)."""
+DESCRIPTORS = (256, 384, 512, 1024)
 KEY_BACKOFF_S = 1.0
 INITIAL_FAULT_SHARE = 0.15
 """Share of the schedules in which file operations fail from the start."""
@@ -215,6 +219,33 @@
     )
 
 
+def _slow_clients(rng: random.Random, at_s: float) -> Fault:
+    """Hundreds of clients that write slowly, stop in the middle of a request, or read no answers."""
+    behaviour = rng.choice((*SLOW_WRITERS, Behaviour.UNREAD_ANSWERS))
+    return _hostile(rng, at_s, behaviour, rng.randrange(100, 480))
+
+
+def _flood(rng: random.Random, at_s: float) -> Fault:
+    """One client, or some, that send small or malformed requests at full speed on one connection each."""
+    return _hostile(rng, at_s, rng.choice(FLOODS), rng.choice((1, 1, 3)))
+
+
+def _leavers(rng: random.Random, at_s: float) -> Fault:
+    """Clients that send much, read nothing and leave."""
+    return _hostile(rng, at_s, Behaviour.LEAVE, rng.randrange(1, 20))
+
+
+def _hostile(rng: random.Random, at_s: float, behaviour: Behaviour, connections: int) -> Fault:
+    return Fault(
+        at_s=at_s,
+        kind="hostile",
+        behaviour=behaviour,
+        share=rng.uniform(0.1, 0.3),
+        connections=connections,
+        for_s=rng.uniform(1.0, 4.0),
+    )
+
+
 def _outage(rng: random.Random, at_s: float) -> Fault:
     return Fault(
         at_s=at_s,
@@ -280,6 +311,12 @@
     _front_cut,
     _front_cut,
     _crowd,
+    _slow_clients,
+    _slow_clients,
+    _flood,
+    _flood,
+    _leavers,
+    _leavers,
     _outage,
     _limit,
     _replace,
@@ -321,7 +358,14 @@
     return Scenario(
         f"soak-{seed}",
         seed=seed,
-        fleet=Fleet(nodes=nodes, endpoints=12, destinations=6, slots=6),
+        fleet=Fleet(
+            nodes=nodes,
+            endpoints=12,
+            destinations=6,
+            slots=6,
+            memory_mb=rng.choice(MEMORY_MB),
+            sockets=rng.choice(DESCRIPTORS),
+        ),
         time=Time(warm_s=1.0, load_s=shape.load_s, drain_s=DRAIN_S),
         faults=tuple(faults),
         load=Load(per_node_s=rng.uniform(2.0, 5.0), of_limits=rng.uniform(0.6, 1.2), keys=60),
@@ -344,11 +388,18 @@
     result: Result
     log_violations: list[str]
     """Log lines that match `LOG_VIOLATION`."""
+    memory_mb: float
+    """The memory that each process may have."""
 
     @property
     def passed(self) -> bool:
-        """Whether there are no findings, no log violations and no crashes."""
-        return not (self.result.findings or self.log_violations or self.result.costs["crashes"])
+        """Whether there are no findings, no log violations, no crashes and no process over its memory."""
+        return not (self.result.findings or self.log_violations or self.result.costs["crashes"] or self.is_over_memory)
+
+    @property
+    def is_over_memory(self) -> bool:
+        """Whether a process had more memory than it may have."""
+        return self.result.costs["own_memory_mb_most"] > self.memory_mb
 
     def lines(self) -> Iterable[str]:
         """Yield a readable line for each failure."""
@@ -356,6 +407,8 @@
             yield f"{finding.rule} at {finding.at_s:.3f} s, {finding.node}, {finding.id}: {finding.text}"
         if self.result.costs["crashes"]:
             yield f"{self.result.costs['crashes']} crashes"
+        if self.is_over_memory:
+            yield f"a process had {self.result.costs['own_memory_mb_most']:.1f} MB of {self.memory_mb:.0f}"
         yield from self.log_violations[:MAX_LOG_LINES]
 
 
--- a/lab/testbed.py
+++ b/lab/testbed.py
@@ -24,6 +24,7 @@
 from lab.forwarder_process import ForwarderProcess
 from lab.front import Front
 from lab.launcher import Launcher
+from lab.memory_watch import MemoryWatch
 from lab.network import Address, Link, Network
 from lab.plan import Endpoint, Plan
 from lab.shim import module_name
@@ -90,6 +91,7 @@
         self.endpoints: dict[str, EndpointServer] = {}
         self.forwarders: dict[str, ForwarderProcess] = {}
         self.launcher = Launcher()
+        self.memory = MemoryWatch()
         self.exchange: DatagramExchange | None = None
         """Relays datagrams between the forwarders, if their extensions file uses it."""
 
@@ -148,6 +150,7 @@
         await self._open_exchange()
         self.front.open()
         await self.launcher.open()
+        self.memory.start()
         for forwarder in self.forwarders.values():
             await forwarder.start()
         await self._wait_until_up()
@@ -194,6 +197,7 @@
                 event_log=self.event_log,
                 launcher=self.launcher,
                 admin_address=(host_for(Role.FORWARDER, index), self.port + ADMIN_PORT_OFFSET),
+                on_started=self.memory.add,
                 extensions=self.extensions_for(index),
                 clock_skew_s=self.plan.clock_skews_s[index],
                 is_shimmed=is_shimmed,
@@ -272,6 +276,7 @@
     async def close(self) -> None:
         """End every process and every connection."""
         self.event_log.closed = True
+        self.memory.stop()
         self.front.close()
         for forwarder in self.forwarders.values():
             forwarder.may_start = False
