Upgrade: requests that wait behind others pass to the new process

Cause: requests that were parsed and waited were in no form that could be handed over. The record's form stays as it is.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -314,9 +314,8 @@
         self.opened_us = handed_over.connected_at_us
         self.has_sent_request = handed_over.has_sent_request
         if handed_over.received:
-            self.data_received(handed_over.received)
-        if self.reader.partial is not None:
-            self.reader.partial.arrived_us = handed_over.request_arrived_us
+            self.reader.receive(handed_over.received, handed_over.request_arrived_us or self.server.clock())
+            self._serve()
         self.last_used_us = handed_over.last_used_us
         if handed_over.handed_over_at_us is not None:
             self._arrivals.note_reading_paused(handed_over.handed_over_at_us)
@@ -416,7 +415,7 @@
         last_used_us=connection.last_used_us,
         has_sent_request=connection.has_sent_request,
         handed_over_at_us=connection.server.clock(),
-        request_arrived_us=0 if reader.partial is None else reader.partial.arrived_us,
+        request_arrived_us=reader.arrived_us(),
         received=reader.wire_bytes(),
     )
 
--- a/forwarder/clients/request_reader.py
+++ b/forwarder/clients/request_reader.py
@@ -107,6 +107,12 @@
         """Returns whether `wire_bytes` holds all that another process needs to go on."""
         return not self.is_broken and not self._complete and self.parser.has_wire_bytes()
 
+    def arrived_us(self) -> int:
+        """Returns the earliest time at which the first byte of `wire_bytes` may have arrived; 0 if there is none."""
+        if self.partial is not None:
+            return self.partial.arrived_us
+        return self._arrived_us if self._unparsed else 0
+
     def wire_bytes(self) -> bytes:
         """Returns the bytes that belong to no complete request yet, as they came."""
         return self.parser.wire_bytes() + self._unparsed[self._parsed_bytes :]
--- a/forwarder/runtime/handover_format.py
+++ b/forwarder/runtime/handover_format.py
@@ -75,9 +75,9 @@
     handed_over_at_us: int | None
     """None if the previous process did not send it."""
     request_arrived_us: int
-    """Earliest time at which the first byte of the request that is being read may have arrived; 0 between requests."""
+    """Earliest time at which the first byte of `received` may have arrived; 0 between requests."""
     received: bytes
-    """The bytes of that request that have been read."""
+    """The bytes that have been read and belong to no answered request: of one in part, or of several."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/runtime/test_handover.py
+++ b/tests/runtime/test_handover.py
@@ -169,6 +169,29 @@
     play(scene, tmp_path)
 
 
+def test_requests_that_wait_behind_each_other_are_answered_after_an_upgrade(tmp_path: Path) -> None:
+    """Issue 58, point 5: requests that were read and waited were neither handed over nor answered."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await start_endpoint(platform, always(OK))
+        node = await start_node(folder, platform, max_open=2_000)
+        client = await node.client()
+        names: list[str] = []
+        starting = asyncio.create_task(upgrade(node))
+        while not starting.done():  # some of them wait while the state is handed over
+            more = [f"m{len(names) + number}" for number in range(20)]
+            client.writer.write(b"".join(message(name, "status") for name in more))
+            for _ in more:
+                assert (await client.answer())[0] == 202
+            names += more
+        await starting
+        await peer.wait_until(lambda: len(peer.requests) >= len(names))
+        assert sorted(received_ids(peer)) == sorted(names)
+        client.writer.close()
+
+    play(scene, tmp_path)
+
+
 def successor_of(dispatcher: Dispatcher, messages: list[Event], now: int) -> Dispatcher:
     """Returns a dispatcher that takes over from another one, with the learned state that a hand-over transfers."""
     new = Dispatcher(settings(), 8, now)
