Memory: the plan follows what the process takes while it runs

Change: every 5 s, with the state lines, the plan is made anew from the process's memory less what requests hold.

--- a/forwarder/runtime/context.py
+++ b/forwarder/runtime/context.py
@@ -52,5 +52,8 @@
     def publish_serving_endpoints(self) -> None:
         """Tells the pool and the extensions which endpoints may be called: the last check before a call is written."""
 
+    def plan_memory(self) -> None:
+        """Divides the memory anew by what the process takes now."""
+
     def start_draining(self) -> None:
         """Drains the clients; accepted messages are still delivered."""
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -110,7 +110,7 @@
         self.checks = PeriodicChecks(self, self.folder_ownership)
         self.extensions += [make_extension(self) for make_extension in extensions]
         self.watch.version = recover_state(self)
-        self.memory_plan = self._plan_memory()
+        self.memory_plan = self._make_memory_plan()
         self.startup_progress = StartupProgress(self.clock(), self.store.messages)
 
     def _open_store(self, settings: Settings) -> MessageStore:
@@ -244,7 +244,7 @@
         self.folder_ownership.begin_to_write()
         log.info("start %d of %s: %s", self.identity.start_count, self.identity.folder_id, self.start_kind.value)
         self._log_descriptors()
-        self._apply_memory_plan()
+        self._apply_first_memory_plan()
         if self.handover is not None:
             await adopt_calls(self, self.handover)
             await adopt_notice_connection(self, self.handover)
@@ -280,15 +280,19 @@
             self.pool.max_connections,
         )
 
-    def _plan_memory(self) -> MemoryPlan:
-        """Returns the plan for the memory that is left now, before anybody is served."""
-        base_bytes = own_memory_bytes() or USUAL_BASE_BYTES
+    def plan_memory(self) -> None:
+        """Divides the memory anew by what the process takes now, for example for its endpoint list."""
+        self.memory_plan = self._make_memory_plan()
+        self.server.request_memory.set_limit(self.memory_plan.request_bytes, self.server.max_connections)
+
+    def _make_memory_plan(self) -> MemoryPlan:
+        base_bytes = (own_memory_bytes() or USUAL_BASE_BYTES) - self.server.request_memory.used_bytes
         connections = self.server.max_connections + self.pool.max_connections
         return plan_memory(self.config.memory_mb * BYTES_PER_MB, base_bytes, self.config.disk_bytes, connections)
 
-    def _apply_memory_plan(self) -> None:
-        plan = self.memory_plan = self._plan_memory()
-        self.server.request_memory.set_limit(plan.request_bytes, self.server.max_connections)
+    def _apply_first_memory_plan(self) -> None:
+        self.plan_memory()
+        plan = self.memory_plan
         self.watch.limit_lists(plan.endpoint_list_bytes)
         log.info(
             "memory: %d kB allowed, %s kB used; at most %d kB for requests in part, %d kB for an endpoint list, "
--- a/forwarder/runtime/periodic_checks.py
+++ b/forwarder/runtime/periodic_checks.py
@@ -52,6 +52,7 @@
             log.warning("the event loop was blocked for %d ms", lag_s * 1000)
         if now_s - self._state_logged_s > STATE_LOG_INTERVAL_S:
             self._state_logged_s = now_s
+            runtime.plan_memory()
             log_state(runtime)
         runtime.store.retry()
         runtime.store.write_snapshot_step()
