Clients and engine: rendering, hand-over, departures and the plan of memory have modules

Change: answer_rendering.py, connection_handover.py, departures.py and runtime/memory_planning.py take what has one job of its own; no behaviour changes. tests/lab/test_hostile_clients.py tests the hostile clients (each ends by itself) and the watch of memory.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import select
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable
 from contextlib import suppress
 from http import HTTPStatus
 from typing import Protocol
 
+from forwarder.clients.answer_rendering import render_answer
 from forwarder.clients.arrival_time import ArrivalEstimate
-from forwarder.clients.listener import descriptor
+from forwarder.clients.departures import connections_left
 from forwarder.clients.request_reader import RequestReader
 from forwarder.clients.submission import ClientRequest
 from forwarder.clients.turn_queue import TurnQueue
 from forwarder.clients.unsent_answers import UnsentAnswers
-from forwarder.runtime.descriptor_watch import ready_now
 from forwarder.runtime.handover_format import ClientRecord
 from forwarder.runtime.reason_counts import ReasonCounts, Subject
 from forwarder.runtime.retrying_socket import RetryingSocket
@@ -243,7 +242,7 @@
         if request is None or self.transport is None or self.transport.is_closing():
             return
         keep_alive = request.keep_alive and not self.server.draining and not self.peer_ended
-        answer = _render_answer(request, status, text, headers, keep_alive)
+        answer = render_answer(request, status, text, headers, keep_alive)
         self.transport.write(answer)
         self._unsent.note(len(answer), on_unsent)
         self.last_used_us = self.server.clock()
@@ -379,64 +378,3 @@
         self.server.connection_closing(self)
         peer = self.transport.get_extra_info("peername")
         self.server.reasons.note(Subject.CLIENT_CLOSED, reason, f"{peer} after id={self._last_message_id or '-'}")
-
-
-def _render_answer(
-    request: ClientRequest, status: HTTPStatus, text: str, headers: Mapping[str, str], keep_alive: bool
-) -> bytes:
-    body = f"{text}\n".encode() if text else b""
-    lines = [
-        f"HTTP/1.1 {status.value} {status.phrase}",
-        f"Content-Length: {len(body)}",
-        *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items()),
-    ]
-    if body:
-        lines.append("Content-Type: text/plain; charset=utf-8")
-    if not keep_alive:
-        lines.append("Connection: close")
-    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
-    return head if request.method == "HEAD" else head + body
-
-
-def describe(connection: ClientConnection) -> ClientRecord | None:
-    """Returns the record with which another process can continue a connection; None if it cannot be handed over."""
-    reader, transport = connection.reader, connection.transport
-    assert transport is not None
-    if (
-        connection.current_request is not None
-        or not reader.can_be_handed_over()
-        or connection.peer_ended
-        or transport.is_closing()
-        or transport.get_write_buffer_size()
-    ):
-        return None
-    return ClientRecord(
-        connected_at_us=connection.opened_us,
-        last_used_us=connection.last_used_us,
-        has_sent_request=connection.has_sent_request,
-        handed_over_at_us=connection.server.clock(),
-        request_arrived_us=reader.arrived_us(),
-        received=reader.wire_bytes(),
-    )
-
-
-def connections_left(connections: Iterable[ClientConnection]) -> list[ClientConnection]:
-    """Returns the connections that are closed, or whose clients have closed them or their sending side.
-
-    The end of the connection may wait unread in the kernel: after a stall of the event loop, or while reading is
-    paused, the kernel may hold both requests and the end that followed them. One system call checks all connections. If
-    it fails, a message is accepted that its client may have given up, which does no harm.
-    """
-    hangup_poll = select.poll()
-    open_connections = {}
-    left = []
-    for connection in connections:
-        if connection.is_closed():
-            left.append(connection)
-            continue
-        number = descriptor(connection.transport)
-        if number >= 0:
-            open_connections[number] = connection
-            hangup_poll.register(number, select.POLLRDHUP)
-    ended = (ready_now(hangup_poll) or ()) if open_connections else ()
-    return left + [open_connections[number] for number, _ in ended]
--- a/forwarder/clients/server.py
+++ b/forwarder/clients/server.py
@@ -8,7 +8,8 @@
 from functools import partial
 from http import HTTPStatus
 
-from forwarder.clients.client_connection import CLIENT_TIMEOUT_US, ClientConnection, connections_left
+from forwarder.clients.client_connection import CLIENT_TIMEOUT_US, ClientConnection
+from forwarder.clients.departures import connections_left
 from forwarder.clients.eviction_order import EvictionOrder
 from forwarder.clients.listener import Listener, descriptor, descriptors_with_input
 from forwarder.clients.request_memory import RequestMemory
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -18,10 +18,9 @@
 from forwarder.clients.drain import ClientDrain
 from forwarder.clients.listener import bind
 from forwarder.clients.server import MAX_OVERSHOOT, ClientServer
-from forwarder.config.config import BYTES_PER_MB, Config, EndpointList
+from forwarder.config.config import Config, EndpointList
 from forwarder.decisions.dispatcher import Dispatcher
 from forwarder.decisions.events import Event
-from forwarder.decisions.memory_plan import MemoryPlan, plan_memory
 from forwarder.decisions.settings import Settings
 from forwarder.discovery.endpoint_list_watch import EndpointListWatch
 from forwarder.discovery.notifier import Notifier
@@ -36,10 +35,10 @@
 from forwarder.runtime.handover_format import HandoverDescription
 from forwarder.runtime.intake import SubmissionIntake
 from forwarder.runtime.invariants import Invariants
+from forwarder.runtime.memory_planning import UNPLANNED, log_memory_plan, plan_process_memory
 from forwarder.runtime.ownership import HandoverState, Ownership
 from forwarder.runtime.pending_notices import PendingNotices
 from forwarder.runtime.periodic_checks import PeriodicChecks
-from forwarder.runtime.process_memory import USUAL_BASE_BYTES, own_memory_bytes
 from forwarder.runtime.reason_counts import ReasonCounts
 from forwarder.runtime.reload import ConfigReloader, socket_settings
 from forwarder.runtime.run_state import RunState
@@ -97,6 +96,7 @@
         self.endpoint_table = EndpointTable(
             settings.kinds, description.endpoint_numbers or {}, description.destinations
         )
+        self.memory_plan = UNPLANNED
         self.extensions: list[Extension] = []
         self._build_server_and_pool(settings, sum(factory.descriptors for factory in extensions))
         self._build_discovery()
@@ -110,7 +110,7 @@
         self.checks = PeriodicChecks(self, self.folder_ownership)
         self.extensions += [make_extension(self) for make_extension in extensions]
         self.watch.version = recover_state(self)
-        self.memory_plan = self._make_memory_plan()
+        self.plan_memory()
         self.startup_progress = StartupProgress(self.clock(), self.store.messages)
 
     def _open_store(self, settings: Settings) -> MessageStore:
@@ -244,7 +244,9 @@
         self.folder_ownership.begin_to_write()
         log.info("start %d of %s: %s", self.identity.start_count, self.identity.folder_id, self.start_kind.value)
         self._log_descriptors()
-        self._apply_first_memory_plan()
+        self.plan_memory()
+        log_memory_plan(self.memory_plan)
+        self.watch.limit_lists(self.memory_plan.endpoint_list_bytes)
         if self.handover is not None:
             await adopt_calls(self, self.handover)
             await adopt_notice_connection(self, self.handover)
@@ -282,27 +284,10 @@
 
     def plan_memory(self) -> None:
         """Divides the memory anew by what the process takes now, for example for its endpoint list."""
-        self.memory_plan = self._make_memory_plan()
-        self.server.request_memory.set_limit(self.memory_plan.request_bytes, self.server.max_connections)
-
-    def _make_memory_plan(self) -> MemoryPlan:
-        base_bytes = (own_memory_bytes() or USUAL_BASE_BYTES) - self.server.request_memory.used_bytes
         connections = self.server.max_connections + self.pool.max_connections
-        return plan_memory(self.config.memory_mb * BYTES_PER_MB, base_bytes, self.config.disk_bytes, connections)
-
-    def _apply_first_memory_plan(self) -> None:
-        self.plan_memory()
-        plan = self.memory_plan
-        self.watch.limit_lists(plan.endpoint_list_bytes)
-        log.info(
-            "memory: %d kB allowed, %s kB used; at most %d kB for requests in part, %d kB for an endpoint list, "
-            "%d kB for requests that are handed over",
-            plan.limit_bytes // 1000,
-            "unknown" if (own_bytes := own_memory_bytes()) is None else own_bytes // 1000,
-            plan.request_bytes // 1000,
-            plan.endpoint_list_bytes // 1000,
-            plan.handover_bytes // 1000,
-        )
+        held_bytes = self.server.request_memory.used_bytes
+        self.memory_plan = plan_process_memory(self.config, connections, held_bytes)
+        self.server.request_memory.set_limit(self.memory_plan.request_bytes, self.server.max_connections)
 
     async def _listen_for_operators(self) -> None:
         """Listens on the admin address once it is free, without delaying service to clients."""
--- a/forwarder/runtime/handover.py
+++ b/forwarder/runtime/handover.py
@@ -13,7 +13,7 @@
 import socket
 from dataclasses import astuple
 
-from forwarder.clients.client_connection import describe as describe_client
+from forwarder.clients.connection_handover import describe as describe_client
 from forwarder.clients.listener import fileno
 from forwarder.decisions.outcomes import Outcome
 from forwarder.endpoints.call import CallItem, CallResult, EndpointCall, LimitScopeKey
--- a/forwarder/runtime/intake.py
+++ b/forwarder/runtime/intake.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from forwarder.clients.client_connection import ClientConnection, connections_left
+from forwarder.clients.client_connection import ClientConnection
+from forwarder.clients.departures import connections_left
 from forwarder.clients.submission import Submission
 from forwarder.decisions.actions import FailMessage, RejectMessage
 from forwarder.decisions.events import Event, MessageArrived, MessageWithdrawn, NoticeAcknowledged
--- a/forwarder/runtime/state_log.py
+++ b/forwarder/runtime/state_log.py
@@ -8,11 +8,11 @@
 
 from forwarder.config.config import BYTES_PER_MB
 from forwarder.runtime.context import Runtime
+from forwarder.runtime.memory_planning import BYTES_PER_KB
 from forwarder.runtime.process_memory import own_memory_bytes
 from forwarder.runtime.reason_counts import Subject
 from forwarder.units import SECOND_US
 
-BYTES_PER_KB = 1000
 MAX_HOLD_REASONS = 3
 """Number of hold reasons that a line names, the largest first."""
 log = logging.getLogger("forwarder.engine")
