Clients: a connection that has been refused makes room before those of sound clients

Cause: a refused connection is read to its end for a second and counted as new for half of one, so the least recently used connections of sound clients went first. Change: refused connections make room first, the oldest before the others. Measured: the new test fails without the change (the sound client's connection is closed) and passes with it.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -42,6 +42,9 @@
     def connection_used(self, connection: ClientConnection) -> None:
         """Notes that data was read from a connection or written to it."""
 
+    def connection_refused(self, connection: ClientConnection) -> None:
+        """Notes that a connection has its answer to a malformed request, and stays open only to be read to its end."""
+
     def connection_closing(self, connection: ClientConnection) -> None:
         """Notes that this side closes a connection whose descriptor is not free yet."""
 
@@ -253,6 +256,7 @@
             if self.transport.can_write_eof():
                 with suppress(OSError):  # the client has reset the connection
                     self.transport.write_eof()
+            self.server.connection_refused(self)
             self._lingering = loop.call_later(
                 MALFORMED_REQUEST_LINGER_S, self.close, "an unreadable request was answered"
             )
--- a/forwarder/clients/server.py
+++ b/forwarder/clients/server.py
@@ -57,6 +57,7 @@
         eviction_order: the other connections, ordered by how soon they are closed to make room.
         draining: whether client connections are being drained.
         closed: whether the server has been closed because the process exits.
+        refused: the connections that have their answer to a malformed request, and are read to their end for a while.
         request_memory: the memory that unanswered input of clients takes.
         turns: connections with input that waits for its turn.
         descriptor_reserve: frees a descriptor for an operation that needs one while the process has none left.
@@ -80,6 +81,7 @@
         self.connections: set[ClientConnection] = set()
         self.closing: set[ClientConnection] = set()
         self.eviction_order: EvictionOrder[ClientConnection] = EvictionOrder()
+        self.refused: dict[ClientConnection, None] = {}
         self.turns: TurnQueue[ClientConnection] = TurnQueue()
         self.request_memory: RequestMemory[ClientConnection] = RequestMemory()
         self._read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # shared: data is copied right after each read
@@ -202,18 +204,25 @@
 
     def connection_used(self, connection: ClientConnection) -> None:
         """Notes that data was read from a connection or written to it."""
-        if connection not in self.closing:
+        if connection not in self.closing and connection not in self.refused:
             self.eviction_order.note_use(connection)
 
+    def connection_refused(self, connection: ClientConnection) -> None:
+        """Notes that a connection has its answer to a malformed request: it makes room before all others."""
+        self.refused[connection] = None
+        self.eviction_order.discard(connection)
+
     def connection_closing(self, connection: ClientConnection) -> None:
         """Notes that this side closes a connection."""
         self.closing.add(connection)
+        self.refused.pop(connection, None)
         self.eviction_order.discard(connection)
 
     def connection_ended(self, connection: ClientConnection) -> None:
         """Removes a connection whose descriptor is free."""
         self.connections.discard(connection)
         self.closing.discard(connection)
+        self.refused.pop(connection, None)
         self.turns.discard(connection)
         self.request_memory.note(connection, 0)
         self.eviction_order.discard(connection)
@@ -231,9 +240,14 @@
     def _evict(self, reason: str) -> bool:
         """Closes one connection to make room; returns False if none of those checked may be closed.
 
-        Never closes a connection that waits for an answer or that has an unread request in the kernel. One whose client
-        has sent several requests at once comes first, with a rejection of each.
+        Never closes a connection that waits for an answer or that has an unread request in the kernel. Those that have
+        been refused come first, then those whose clients have sent several requests at once, with a rejection of each.
         """
+        refused = next(iter(self.refused), None)
+        if refused is not None:
+            del self.refused[refused]
+            refused.close(reason)
+            return True
         waiting = self.turns.next_taker()
         if waiting is not None:
             self.turns.discard(waiting)
--- a/tests/clients/test_server.py
+++ b/tests/clients/test_server.py
@@ -108,6 +108,30 @@
     asyncio.run(scene())
 
 
+def test_a_refused_connection_makes_room_before_the_idle_one_of_a_sound_client() -> None:
+    """Soak, seed 6310: hundreds of clients that came again after a refusal closed the connections of sound ones."""
+
+    async def scene() -> None:
+        server = ClientServer(parse_settings(SETTINGS), Clock(), 2, lambda submitted, connection: None)
+        server.listen(await bind(Address("127.0.0.1", 0)))
+        assert server.listener is not None
+        port = server.listener.address().port
+        sound = await asyncio.open_connection("127.0.0.1", port)
+        sound[1].write(b"GET /up HTTP/1.1\r\n\r\n")
+        await sound[0].readuntil(b"up\n")
+        for _ in range(5):
+            refused = await asyncio.open_connection("127.0.0.1", port)
+            refused[1].write(b"no request\r\n\r\n")
+            assert (await refused[0].readline()).startswith(b"HTTP/1.1 400")
+        sound[1].write(b"GET /up HTTP/1.1\r\n\r\n")
+        async with asyncio.timeout(20):
+            assert (await sound[0].readline()).startswith(b"HTTP/1.1 200")
+        assert len(server.connections) <= 2
+        server.close()
+
+    asyncio.run(scene())
+
+
 @pytest.mark.parametrize("sent", ["before the close", "after the close"])
 @pytest.mark.parametrize("ending", ["drain", "exit", "too many"])
 def test_a_request_that_crosses_the_close_is_answered_or_never_accepted(ending: str, sent: str) -> None:
