--- a/forwarder/__main__.py
+++ b/forwarder/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import signal
+import socket
 import sys
 import time
 from collections.abc import Callable, Sequence
@@ -15,6 +16,7 @@
 from forwarder.admin.server import AdminServer
 from forwarder.clients.arrival_time import event_loop
 from forwarder.clients.listener import bind
+from forwarder.clients.server import BACKLOG
 from forwarder.config.config import Address, Config, ConfigError, ConfigUnreadableError, load_config
 from forwarder.runtime.engine import Engine
 from forwarder.runtime.extension import ExtensionFactory
@@ -97,9 +99,11 @@
         if handover is None:
             # Bind before reading the journal: while another forwarder serves, nothing may be sent.
             client_socket = await bind(config.listen, in_use_timeout_s=IN_USE_TIMEOUT_S)
-            return await retry_unreadable_journal(
+            engine = await retry_unreadable_journal(
                 lambda: Engine(config, ownership, admin, client_socket, extensions=extensions)
             )
+            _claim_address(client_socket)
+            return engine
         client_socket = handover.socket(handover.description.client_listener)
         if client_socket.getsockname()[:2] != astuple(config.listen):
             client_socket = await bind(config.listen)
@@ -119,6 +123,19 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
 
+def _claim_address(client_socket: socket.socket) -> None:
+    """Listens on the clients' address: two processes can bind it at the same time, but only one can listen.
+
+    Raises:
+        OSError: another process listens there, since it bound the address while this one read the journal.
+    """
+    try:
+        client_socket.listen(BACKLOG)
+    except OSError:
+        client_socket.close()
+        raise
+
+
 async def _listen_for_admin(admin: AdminServer, address: Address | None) -> None:
     """Listens on the admin address if it is free; the previous process may still hold it, and hands it over then."""
     if address is None:
--- a/tests/runtime/test_missing_lock.py
+++ b/tests/runtime/test_missing_lock.py
@@ -89,3 +89,34 @@
         assert await node.end() == 0, "the old process has to end by a hand-over"
 
     play(scene, tmp_path)
+
+
+def test_a_process_that_could_not_read_its_journal_does_not_end_because_another_serves_by_then(tmp_path: Path) -> None:
+    """Soak, seed 6215: both had bound the address; the one that listened second ended with status 1, a crash."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await start_endpoint(platform, always(OK))
+        node = Node(folder, platform)
+        end_with_scene(node)
+        await node.set_failures()
+        await node.start()
+        assert (await node.submit("first", "status"))[0] == 202
+        await node.end()
+        await node.set_failures(Failure("open", "ENOSPC"))
+        await node.start(ready=False)
+        async with asyncio.timeout(PATIENCE):
+            while "cannot read the journal" not in "".join(node.log):
+                await asyncio.sleep(0.05)
+        other = node.successor()
+        other.shim = None
+        end_with_scene(other)
+        await other.start()
+        await node.set_failures()
+        async with asyncio.timeout(PATIENCE):  # it takes over from the other one
+            assert await other.process.wait() == 0
+        await node.until_ready()
+        assert (await node.submit("second", "status"))[0] == 202
+        await peer.wait_for_requests(2)
+        assert received_ids(peer) == ["first", "second"]
+
+    play(scene, tmp_path)
