Harness: its clients' connections equal only themselves, as real ones do

Cause: the stand-in is a dataclass with generated equality. Real connections are hashable by identity. Change: eq=False. The checks of the tests stay as they are; with it they pass.

--- a/lab/harness/fakes.py
+++ b/lab/harness/fakes.py
@@ -41,9 +41,9 @@
         self.client.close()
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class FakeClientConnection:
-    """The client connection of one message."""
+    """The client connection of one message; like a real one, it equals only itself."""
 
     on_answer: Callable[[int], None]
     transport: OpenTransport
