Clients: the end of writing does not wait behind an answer that cannot leave

Cause: an answer to a malformed request could not leave for want of buffers; `write_eof` was kept behind it, and failed out of reach once the answer left to a client that had gone. Change: the end of writing is only sent where nothing is unsent; the connection closes a second later in any case. The same call in `EndpointConnection.give_up` ignores the failure too (by reading; not seen there).

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -253,7 +253,9 @@
         loop = asyncio.get_running_loop()
         if self.reader.is_broken and not self.reader.has_input():
             # The client may still be sending: an immediate close would reset the connection before it reads the answer.
-            if self.transport.can_write_eof():
+            if (
+                self.transport.can_write_eof() and not self.has_unsent_answers()
+            ):  # the event loop could not handle a failure of a later end
                 with suppress(OSError):  # the client has reset the connection
                     self.transport.write_eof()
             self.server.connection_refused(self)
--- a/forwarder/endpoints/connection.py
+++ b/forwarder/endpoints/connection.py
@@ -191,7 +191,8 @@
         if call is None or not call.written or self.transport is None or not self.transport.can_write_eof():
             self.close(reason)
             return
-        self.transport.write_eof()
+        with suppress(OSError):  # the endpoint has reset the connection
+            self.transport.write_eof()
         call.timeout_timer = asyncio.get_running_loop().call_later(GIVE_UP_GRACE_S, self.close, reason)
 
     def settle(self) -> None:
--- a/tests/runtime/test_unsent_answers.py
+++ b/tests/runtime/test_unsent_answers.py
@@ -128,3 +128,21 @@
         assert await node.process.wait() == 0
 
     play(scene, tmp_path)
+
+
+def test_the_answer_to_a_malformed_request_leaves_late_without_an_exception(tmp_path: Path) -> None:
+    """Soak, seed 6506: the end of writing, which waited for the answer to leave, failed in the event loop."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        node = await start_shimmed(folder, platform, Failure("client-send", "ENOBUFS"))
+        client = await node.client()
+        client.writer.write(b"no request\r\n\r\n")
+        await asyncio.sleep(0.1)
+        await node.set_failures(Failure("client-send", "ENOBUFS"), Failure("client-recv", "ENOBUFS"))
+        client.writer.close()
+        await node.set_failures(Failure("client-recv", "ENOBUFS"))  # the answer leaves, its client has left unnoticed
+        await asyncio.sleep(0.3)
+        await node.set_failures()
+        await node.end()  # checks the log
+
+    play(scene, tmp_path)
