--- a/forwarder/clients/request_parser.py
+++ b/forwarder/clients/request_parser.py
@@ -116,7 +116,7 @@
     @property
     def body_bytes_left(self) -> int:
         """The number of bytes that the body of the partial request lacks, if its header states its length; else 0."""
-        return self._body_bytes_left if self.partial is not None else 0
+        return 0 if self.partial is None else self._body_bytes_left
 
     @property
     def is_in_chunked_body(self) -> bool:
@@ -138,7 +138,8 @@
         return self.partial is not None and self._is_header_complete and not self._is_chunked
 
     def _forget_wire_bytes(self) -> None:
-        self._wire_bytes = bytearray()
+        if self._wire_bytes:
+            self._wire_bytes = bytearray()
         self._body_wire_bytes = 0
         self._has_wire_bytes = False
 
--- a/forwarder/clients/request_reader.py
+++ b/forwarder/clients/request_reader.py
@@ -52,6 +52,8 @@
     @property
     def held_bytes(self) -> int:
         """The approximate memory that all unanswered input takes, without the request that is being answered."""
+        if not (self._unparsed or self._complete or self.partial is not None):
+            return 0
         complete_bytes = sum(REQUEST_OBJECT_BYTES + len(request.body) for request in self._complete)
         return len(self._unparsed) + complete_bytes + self.parser.held_bytes
 
@@ -120,36 +122,36 @@
     # Internal steps
 
     def _take_piece(self) -> bytes:
-        """Returns the next bytes for the parser, which end no more than one request if it has a CRLF after each line.
+        """Returns the next bytes for the parser, which end no more than one request with CRLF line ends.
 
         Returns an empty piece if all bytes are parsed.
         """
-        if self.partial is None:
+        parser = self.parser
+        if parser.partial is None:
             self._skip_blank_lines()
-        start = self._parsed_bytes
-        end = min(len(self._unparsed), self._end_of_piece(start))
-        piece = self._unparsed[start:end]
-        self._parsed_bytes = end
-        if end == len(self._unparsed):
-            self._forget_unparsed()
-        if not piece and self._blank_bytes > MAX_BLANK_BYTES and not self.is_broken:
-            return MALFORMED_INPUT
-        return piece
-
-    def _end_of_piece(self, start: int) -> int:
-        if self.parser.body_bytes_left > 0:
-            return start + self.parser.body_bytes_left
-        if self.parser.is_in_chunked_body:
-            return start + CHUNKED_PIECE_BYTES
-        end_of_header = self._unparsed.find(END_OF_HEADER, start)
-        return len(self._unparsed) if end_of_header < 0 else end_of_header + len(END_OF_HEADER)
+            if not self._unparsed:
+                return MALFORMED_INPUT if self._blank_bytes > MAX_BLANK_BYTES and not self.is_broken else b""
+        unparsed, start = self._unparsed, self._parsed_bytes
+        if parser.body_bytes_left > 0:
+            end = start + parser.body_bytes_left
+        elif parser.is_in_chunked_body:
+            end = start + CHUNKED_PIECE_BYTES
+        else:
+            end_of_header = unparsed.find(END_OF_HEADER, start)
+            end = len(unparsed) if end_of_header < 0 else end_of_header + len(END_OF_HEADER)
+        if end < len(unparsed):
+            self._parsed_bytes = end
+            return unparsed[start:end]
+        self._forget_unparsed()
+        return unparsed[start:]
 
     def _skip_blank_lines(self) -> None:
         """Skips line breaks before a request, which the parser would ignore too."""
         start = self._parsed_bytes
-        if self._unparsed[start : start + 1] not in (b"\r", b"\n"):
-            if start < len(self._unparsed):
-                self._blank_bytes = 0
+        if start == len(self._unparsed):
+            return
+        if self._unparsed[start] not in LINE_BREAKS:
+            self._blank_bytes = 0
             return
         rest = self._unparsed[start:].lstrip(LINE_BREAKS)
         self._blank_bytes += len(self._unparsed) - start - len(rest)
