Memory: refusing hundreds of partial requests at once does not recurse

Found by reading the final code: each refusal noted what its connection holds, which refused the next one inside. With 500 partial requests over a limit that has become lower, `RecursionError` in the event loop's callback; the clients half way through would have got neither an answer nor a close. Change: one loop refuses; what is noted meanwhile does not start another. Measured: the new test fails without the change (RecursionError) and passes with it.

--- a/forwarder/clients/server.py
+++ b/forwarder/clients/server.py
@@ -84,6 +84,7 @@
         self.refused: dict[ClientConnection, None] = {}
         self.turns: TurnQueue[ClientConnection] = TurnQueue()
         self.request_memory: RequestMemory[ClientConnection] = RequestMemory()
+        self._is_refusing = False
         self._read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # shared: data is copied right after each read
         self.draining = False
         self.closed = False
@@ -162,8 +163,14 @@
         """Notes what a connection holds; refuses requests that have come in part if all hold too much together."""
         if connection in self.connections:
             self.request_memory.note(connection, connection.reader.held_bytes)
-        while (refused := self.request_memory.next_to_refuse()) is not None:
-            self._refuse_partial(refused)
+        if self._is_refusing:  # called for a connection that is being refused
+            return
+        self._is_refusing = True
+        try:
+            while (refused := self.request_memory.next_to_refuse()) is not None:
+                self._refuse_partial(refused)
+        finally:
+            self._is_refusing = False
 
     def limit_partial_requests(self, max_bytes: int) -> None:
         """Refuses the largest requests that have come in part, until all input takes no more than this."""
--- a/tests/clients/test_server.py
+++ b/tests/clients/test_server.py
@@ -16,7 +16,7 @@
 from forwarder.protocol.settings_format import parse_settings
 from forwarder.storage.clock import Clock
 from tests.clients.peers import reject_all, start_flood
-from tests.engine_scene import play_with_platform
+from tests.engine_scene import RecordingTransport, play_with_platform
 from tests.nodes import SETTINGS, message
 from tests.platforms import Platform
 from tests.sockets import Skewed
@@ -108,6 +108,29 @@
     asyncio.run(scene())
 
 
+def test_hundreds_of_partial_requests_are_refused_at_once_when_memory_is_short() -> None:
+    """Found by reading after issue 61 (a): each refusal called the next, up to the limit on recursion."""
+
+    async def scene() -> None:
+        server = ClientServer(parse_settings(SETTINGS), Clock(), 600, lambda submitted, connection: None)
+        transports = []
+        for _ in range(500):
+            transports.append(RecordingTransport())
+            connection = ClientConnection(server)
+            connection.connection_made(transports[-1])
+            connection.data_received(message("m", body=b"x" * 5_000)[:-1])
+        server.request_memory.set_limit(10_000, 600)
+        server.note_held(connection)
+        assert server.request_memory.used_bytes <= server.request_memory.limit_bytes
+        refused = [b"HTTP/1.1 503" in transport.written for transport in transports]
+        assert refused.count(True) == len(refused) - 1  # what the last one holds keeps the limit
+        for connection in list(server.connections):
+            connection.connection_lost(None)
+        server.close()
+
+    asyncio.run(scene())
+
+
 def test_a_refused_connection_makes_room_before_the_idle_one_of_a_sound_client() -> None:
     """Soak, seed 6310: hundreds of clients that came again after a refusal closed the connections of sound ones."""
 
