Tests: a failure is formatted without garbage collections

Cause: `SystemError: AST constructor recursion depth mismatch`. While pytest parsed the source of the failed test, the collector ran finalizers of its clients; one failed, and CPython 3.11 parses source to format that traceback. Change: the collector is off while a report is made. No check changes. Measured: tests/test_known_failures.py and test_repo.py pass; the crash was not reproduced on purpose.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import gc
+from collections.abc import Generator
 from pathlib import Path
 
 import pytest
@@ -28,6 +30,20 @@
                 item.add_marker(pytest.mark.xfail(reason=known.describe(), strict=is_strict))
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport() -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Formats a failure without garbage collections.
+
+    CPython 3.11 raises SystemError if a finalizer fails while the source of the failed test is parsed: formatting the
+    finalizer's traceback parses source too.
+    """
+    gc.disable()
+    try:
+        return (yield)
+    finally:
+        gc.enable()
+
+
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     for known in known_failures():
         terminalreporter.write_line(f"known to fail: {known.describe()}")
