Clients: a connection keeps nothing that it no longer uses, nor a long id

Found by reading the whole change as an operator: each connection kept the id of its last request for the log, up to 16 kB and checked by nobody (8 MB for 496 idle connections), and after an upgrade the record of its hand-over with the bytes of a request in part. Neither counted against the plan of memory, and the log lines had the whole id. Change: the id is cut to the longest valid one; the record is dropped once it is used.

--- a/forwarder/clients/client_connection.py
+++ b/forwarder/clients/client_connection.py
@@ -12,7 +12,7 @@
 from forwarder.clients.arrival_time import ArrivalEstimate
 from forwarder.clients.departures import connections_left
 from forwarder.clients.request_reader import RequestReader
-from forwarder.clients.submission import ClientRequest
+from forwarder.clients.submission import MAX_ID_LENGTH, ClientRequest
 from forwarder.clients.turn_queue import TurnQueue
 from forwarder.clients.unsent_answers import UnsentAnswers
 from forwarder.runtime.handover_format import ClientRecord
@@ -111,6 +111,7 @@
         self.server.connection_opened(self)
         if self._handed_over is not None:
             self._restore(self._handed_over)
+            self._handed_over = None
         self._arrivals.note_reading_started(self._is_reading)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -168,7 +169,7 @@
         self.reader.receive(data, arrived_us)
         is_late = self.last_used_us - arrived_us > READ_LATE_THRESHOLD_US
         if is_late and (request := self.reader.peek_request()) is not None:
-            self.server.reasons.note(Subject.READ_LATE, "it lay in the kernel", request.message_id)
+            self.server.reasons.note(Subject.READ_LATE, "it lay in the kernel", request.message_id[:MAX_ID_LENGTH])
         self._serve()
         self.server.connection_used(self)
 
@@ -344,7 +345,7 @@
             if request.method:  # a malformed request has no method
                 self.has_sent_request = True
             self.current_request = request
-            self._last_message_id = request.message_id
+            self._last_message_id = request.message_id[:MAX_ID_LENGTH]
             self.server.handle(self, request)
         self._continue()
         self.server.note_held(self)
--- a/tests/clients/test_server.py
+++ b/tests/clients/test_server.py
@@ -11,9 +11,10 @@
 from forwarder.clients.client_connection import ClientConnection
 from forwarder.clients.listener import bind
 from forwarder.clients.server import STALL_TIMEOUT_US, ClientServer
-from forwarder.clients.submission import Submission
+from forwarder.clients.submission import MAX_ID_LENGTH, Submission
 from forwarder.config.config import Address
 from forwarder.protocol.settings_format import parse_settings
+from forwarder.runtime.handover_format import ClientRecord
 from forwarder.storage.clock import Clock
 from tests.clients.peers import reject_all, start_flood
 from tests.engine_scene import RecordingTransport, play_with_platform
@@ -131,6 +132,38 @@
     asyncio.run(scene())
 
 
+def test_an_idle_connection_keeps_no_long_id_of_its_last_request() -> None:
+    """Found by reading after issue 61 (a): each idle connection kept an id of up to 16 kB that nothing counted."""
+
+    async def scene() -> None:
+        server = ClientServer(parse_settings(SETTINGS), Clock(), 10, lambda submitted, connection: None)
+        connection = ClientConnection(server)
+        connection.connection_made(RecordingTransport())
+        connection.data_received(message("i" * 5_000))
+        assert connection.is_idle()
+        assert len(connection._last_message_id) <= MAX_ID_LENGTH
+        connection.connection_lost(None)
+        server.close()
+
+    asyncio.run(scene())
+
+
+def test_a_connection_that_was_handed_over_keeps_no_record_of_it() -> None:
+    """Found by reading after issue 61 (a): the bytes of a hand-over stayed with their connection until its end."""
+
+    async def scene() -> None:
+        server = ClientServer(parse_settings(SETTINGS), Clock(), 10, lambda submitted, connection: None)
+        record = ClientRecord(0, 0, False, None, 1, message("m", body=b"x" * 5_000)[:-1])
+        connection = ClientConnection(server, handed_over=record)
+        connection.connection_made(RecordingTransport())
+        assert connection.has_partial_request()
+        assert connection._handed_over is None
+        connection.connection_lost(None)
+        server.close()
+
+    asyncio.run(scene())
+
+
 def test_a_refused_connection_makes_room_before_the_idle_one_of_a_sound_client() -> None:
     """Soak, seed 6310: hundreds of clients that came again after a refusal closed the connections of sound ones."""
 
