--- a/forwarder/decisions/memory_plan.py
+++ b/forwarder/decisions/memory_plan.py
@@ -1,6 +1,7 @@
 """Divides the memory that the process may have among those it holds data for.
 
-This is the one place that says how much may be held in all, and for whom. Who waits or is refused first:
+The unanswered input of all clients counts against one sum; the other data has a bound of its own. The floors below hold
+even where no memory is free. Who waits or is refused first:
 
 - Requests of clients that are not complete: of the clients that hold more than an equal part, the one that has held
   something for longest is refused.
