--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -26,6 +26,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENT_TIMEOUT_S = 0.4
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
+MAX_PRINTED = 8
 
 
 class CannotRun(Exception):
@@ -359,6 +360,7 @@
         self.listen_port = free_port()
         self.control_port = free_port()
         self.disk_mb = 3.0
+        self.sockets = 1024
         self.settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
         self.known: dict[str, Any] = {"seq": 0, "whole": True, "hosts": []}
         self.discovery = ""
@@ -372,7 +374,7 @@
             "discovery": self.discovery,
             "control": f"127.0.0.1:{self.control_port}",
             "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": self.disk_mb},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets, "disk_mb": self.disk_mb},
             "known": self.known,
             "settings": self.settings,
         }
@@ -512,7 +514,10 @@
             await scene.close()
         for finding in findings:
             scene.record.note("broken:", finding)
+        for finding in findings[:MAX_PRINTED]:
             print(f"broken: {finding}")
+        if len(findings) > MAX_PRINTED:
+            print(f"broken: and {len(findings) - MAX_PRINTED} more, see record.txt")
         print("the rule was broken" if findings else "the rule held")
         return BROKEN if findings else HELD
 
