--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,6 +13,8 @@
 """Up to half a second after its time a final answer only earns nothing; later, or never, it is lost (STANDING)."""
 READY_AGAIN_S = 1.5
 MAX_UPGRADES = 6
+retiring: list[asyncio.Task[None]] = []
+"""The old addresses that close their connections."""
 
 
 async def wait_listening(port: int) -> None:
@@ -28,56 +30,78 @@
     raise CannotRun("the new process does not listen for operators")
 
 
+def is_running(pid: int) -> bool:
+    """Returns whether a process has not ended; one that has, and was not waited for yet, is a zombie."""
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text(encoding="ascii", errors="replace")
+    except OSError:
+        return False
+    return stat.rpartition(")")[2].split()[0] not in "ZX"
+
+
+async def upgrade(scene: Scene, forwarder: Forwarder, old: Discovery, new: Discovery) -> bool:
+    """Upgrades the forwarder; in the middle of it, replaces the configuration and signals the old process.
+
+    Returns whether that process was still running after the signal had been sent to it.
+    """
+    serving = scene.processes[-1]
+    forwarder.control_port = free_port()
+    await forwarder.start()
+    await wait_listening(forwarder.control_port)
+    was_running = is_running(serving.pid)
+    if TROUBLE and was_running:
+        forwarder.discovery = new.address
+        forwarder.write_config()
+        scene.signal(serving, signal.SIGHUP)
+        was_running = is_running(serving.pid)
+        retiring.append(asyncio.create_task(old.retire()))  # from the signal on
+        scene.record.note("the old process runs after the signal:", was_running)
+    while not (await forwarder.call("HEALTH")).startswith("ok"):
+        await asyncio.sleep(0.05)
+    scene.signal(serving, signal.SIGTERM)
+    await asyncio.wait_for(serving.wait(), 5.0)
+    scene.record.note("the old process has ended:", serving.returncode)
+    if TROUBLE and forwarder.discovery == new.address and not was_running:
+        scene.record.note("the signal came too late for the old process: the new one gets it")
+        await asyncio.sleep(1.2)
+        scene.signal(scene.processes[-1], signal.SIGHUP)
+        await asyncio.sleep(0.5)
+    return was_running
+
+
 async def case(scene: Scene) -> list[str]:
     record = scene.record
-    old, new = Discovery(record, "old-address"), Discovery(record, "new-address")
-    await old.start()
-    await new.start()
     endpoint = Endpoint(record, "s-1", 7)
     endpoint.is_full = True
     await endpoint.start()
-    for discovery in (old, new):
+    addresses = [Discovery(record, f"address-{number}") for number in range(MAX_UPGRADES + 1)]
+    for discovery in addresses:
+        await discovery.start()
         discovery.put(endpoint.entry())
     forwarder = Forwarder(scene)
-    forwarder.discovery = old.address
-    forwarder.known = old.whole()
-    serving = await forwarder.start()
+    forwarder.discovery = addresses[0].address
+    forwarder.known = addresses[0].whole()
+    await forwarder.start()
     await forwarder.wait_ready()
     await asyncio.sleep(1.5)  # no SIGHUP comes in the program's first second
-    accepted: list[str] = []
     for attempt in range(MAX_UPGRADES):
-        accepted = [f"{attempt}{n:015x}" for n in range(5)]
-        accepted = [each for each in accepted if await forwarder.submit(each, 7, TIME_LEFT_S) == 202]
+        old, new = addresses[attempt : attempt + 2]
+        ids = [f"{attempt}{number:015x}" for number in range(5)]
+        accepted = [each for each in ids if await forwarder.submit(each, 7, TIME_LEFT_S) == 202]
         submitted_s = record.now_s()
-        forwarder.control_port = free_port()
-        starting = await forwarder.start()
-        await wait_listening(forwarder.control_port)
-        is_signalled = serving.returncode is None
-        if TROUBLE and is_signalled:
-            forwarder.discovery = new.address
-            forwarder.write_config()
-            scene.signal(serving, signal.SIGHUP)
-            moved_s = record.now_s()
-            retiring = asyncio.create_task(old.retire())
-        while not (await forwarder.call("HEALTH")).startswith("ok"):
-            await asyncio.sleep(0.05)
-        scene.signal(serving, signal.SIGTERM)
-        await asyncio.wait_for(serving.wait(), 5.0)
-        record.note("the former process has ended:", serving.returncode)
-        serving = starting
-        if is_signalled:
+        if await upgrade(scene, forwarder, old, new):
             break
-        record.note("the former process had ended before its configuration was replaced: once more")
+        if forwarder.discovery == old.address:
+            addresses[attempt + 1] = old
         await asyncio.sleep(1.5)
     else:
-        raise CannotRun("no SIGHUP reached a serving process")
+        raise CannotRun("no signal reached a running old process")
     await asyncio.sleep(max(0.0, submitted_s + TIME_LEFT_S + LATE_S + READY_AGAIN_S - record.now_s()))
-    if starting.returncode is not None:
-        return [f"the new process has ended with {starting.returncode}"]
-    ended = old.ended_ids() | new.ended_ids() | endpoint.delivered
+    if scene.processes[-1].returncode is not None:
+        return [f"the new process has ended with {scene.processes[-1].returncode}"]
     if TROUBLE:
-        await retiring
-        record.note(f"requests at the new address in {record.now_s() - moved_s:.1f} s after the signal: {new.requests}")
+        record.note("requests that the new address got:", new.requests)
+    ended = set().union(*(each.ended_ids() for each in addresses)) | endpoint.delivered
     return [f"{each} was answered 202 and has neither been delivered nor ended" for each in accepted if each not in ended]
 
 
