--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -361,6 +361,7 @@
         self.control_port = free_port()
         self.disk_mb = 3.0
         self.sockets = 1024
+        self.memory_mb = 192
         self.settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
         self.known: dict[str, Any] = {"seq": 0, "whole": True, "hosts": []}
         self.discovery = ""
@@ -374,7 +375,7 @@
             "discovery": self.discovery,
             "control": f"127.0.0.1:{self.control_port}",
             "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets, "disk_mb": self.disk_mb},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets, "disk_mb": self.disk_mb},
             "known": self.known,
             "settings": self.settings,
         }
