--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -504,10 +504,14 @@
 
     async def _play() -> int:
         scene = Scene(folder)
+        playing = asyncio.current_task()
+        assert playing is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 findings = await case(scene)
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
             scene.record.note("cannot run:", repr(error))
             print(f"cannot run: {error!r}")
             return CANNOT_RUN
