--- a/review/9/case.py
+++ b/review/9/case.py
@@ -10,12 +10,13 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 from kit import TROUBLE, Discovery, Endpoint, Forwarder, Scene, play
 
-DISK_BYTES = 3_000_000
+DISK_BYTES = 3 * 1024 * 1024
+"""`disk_mb` of 3, taken as MiB: the page does not say which it is."""
 HANG_S = 17.0
 HELD_MESSAGES = 60
 HELD_BYTES = 12_000
 STEADY_BYTES = 8_000
-CLUMP_MESSAGES = 16
+CLUMP_MESSAGES = 20
 CLUMP_BYTES = 30_000
 CLUMP_AT_BYTES = 2_000_000
 """A clump comes when the folder holds so much, or after as many steady messages as bring it there."""
@@ -34,15 +35,22 @@
         self.most_files = ""
         self.samples = 0
 
+    def _files(self) -> dict[str, int]:
+        """Returns the plain files that are there now, with their inode numbers."""
+        with os.scandir(self.folder) as entries:
+            return {entry.name: entry.inode() for entry in entries if entry.is_file(follow_symlinks=False)}
+
     def run(self) -> None:
         while not self.is_over:
             sizes = {}
             try:
-                for entry in os.scandir(self.folder):
-                    if entry.is_file(follow_symlinks=False):
-                        sizes[entry.name] = entry.stat(follow_symlinks=False).st_size
+                before = self._files()
+                for name in before:
+                    sizes[name] = os.lstat(self.folder / name).st_size
+                if self._files() != before:
+                    continue  # a file came, went or was replaced meanwhile: this sample does not count
             except FileNotFoundError:
-                continue  # a file was removed in the middle: this sample does not count
+                continue
             self.samples += 1
             self.now_bytes = sum(-(-size // 512) * 512 for size in sizes.values())
             if self.now_bytes > self.most_bytes:
--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -385,6 +385,8 @@
 
     async def start(self) -> asyncio.subprocess.Process:
         """Starts `run` with the present configuration; all that it is told agrees with the file."""
+        if self.scene.is_closing:
+            raise CannotRun("the case is over")
         self.write_config()
         self.starts += 1
         temporary = self.folder / f"tmp-{self.starts}"
@@ -480,6 +482,7 @@
         self.record = Record(folder)
         self.temporary = Path(tempfile.mkdtemp(prefix="review-2-"))
         self.processes: list[asyncio.subprocess.Process] = []
+        self.is_closing = False
 
     def signal(self, process: asyncio.subprocess.Process, number: signal.Signals) -> None:
         self.record.note("signal", number.name, "to", process.pid)
@@ -487,6 +490,12 @@
             os.kill(process.pid, number)
 
     async def close(self) -> None:
+        """Ends every process that the case has started, and the tasks that could start another one."""
+        self.is_closing = True
+        others = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
         for process in self.processes:
             if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
