State folder: room for the rewrite is made before a round adds to the state

Cause: a round's messages were applied to the state first and the files looked at afterwards; the rewrite that was due then held the new messages beside all files.

Change: one rule in storage/capacity.py: whatever is in the files, the whole state can be written once more beside them. JournalWriter.reserve keeps it before the state changes, for a round's messages and for an endpoint list; what does not fit gets 503 with Retry-After. storage/disk_usage.py counts every file in whole blocks before each write and refuses what would go over the limit. The state line shows disk_kb.

Why it works: the rewrite comes while the state is as it was at the check, so both sides are known.

--- a/forwarder/runtime/decision_loop.py
+++ b/forwarder/runtime/decision_loop.py
@@ -127,6 +127,7 @@
     def _run_round(self) -> None:
         self.rounds += 1
         self.intake.withdraw_disconnected()
+        self.intake.reserve_space()
         now_us = self.clock()
         self._last_round_us = now_us
         events = self.events
--- a/forwarder/runtime/intake.py
+++ b/forwarder/runtime/intake.py
@@ -18,6 +18,7 @@
 from forwarder.runtime.reason_counts import ReasonCounts, Subject
 from forwarder.runtime.run_state import RunState
 from forwarder.storage.clock import AnchoredClock
+from forwarder.storage.messages import stored_message_bytes
 from forwarder.storage.store import MessageStore
 from forwarder.units import SECOND_US
 
@@ -57,7 +58,7 @@
         self.pending: PendingSubmissions = {}
         """Submissions since the last round, by message id."""
         self._pending_bytes = 0
-        """The size of the bodies of the pending submissions."""
+        """The size on disk of the pending submissions."""
         self._full_logged_us = -FULL_LOG_INTERVAL_US
 
     def submit(self, submission: Submission, client: ClientConnection) -> None:
@@ -78,7 +79,7 @@
             self.reject_unavailable(submission, client, "no such destination")
             return
         self.pending[submission.id] = (submission, client)
-        self._pending_bytes += len(submission.body)
+        self._pending_bytes += stored_message_bytes(submission)
         client.on_withdrawn = lambda: self.withdraw(submission.id)
         self.post(
             MessageArrived(
@@ -105,7 +106,7 @@
 
     def _has_room(self, submission: Submission) -> bool:
         held_count = len(self.store.messages) + len(self.pending)
-        size_bytes = len(submission.body) + self._pending_bytes
+        size_bytes = stored_message_bytes(submission) + self._pending_bytes
         # Without the clock's anchor, a restart could not tell how much time the messages have left.
         can_record = self.store.has_capacity_for(size_bytes) and self.clock.is_anchored
         if not self.run_state.is_frozen and held_count < self.settings.max_open_messages and can_record:
@@ -122,6 +123,14 @@
             client.client_left()
             self.withdraw(ids[client])
 
+    def reserve_space(self) -> None:
+        """Makes room in the state folder for the submissions of the next round, and rejects them if there is none."""
+        if not self.pending or self.store.reserve(self._pending_bytes):
+            return
+        for message_id, (submission, client) in [*self.pending.items()]:
+            self.withdraw(message_id)
+            self.reject_unavailable(submission, client, "full")
+
     def take_pending(self) -> PendingSubmissions:
         """Returns the submissions since the last round, and starts a new collection."""
         pending = self.pending
@@ -133,7 +142,7 @@
         """Withdraws a submission whose client left before the answer: the client may submit the message elsewhere."""
         withdrawn = self.pending.pop(message_id, None)
         if withdrawn is not None:
-            self._pending_bytes -= len(withdrawn[0].body)
+            self._pending_bytes -= stored_message_bytes(withdrawn[0])
             self.post(MessageWithdrawn(message_id))
 
     def reject_unavailable(self, submission: Submission, client: ClientConnection, reason: str) -> None:
--- a/forwarder/runtime/state_log.py
+++ b/forwarder/runtime/state_log.py
@@ -79,11 +79,12 @@
 
 def _log_counts(runtime: Runtime) -> None:
     store = runtime.store
+    usage = store.files.usage
     key_queues = runtime.dispatcher.key_queues.by_key.values()
     log.info(
         "state: held=%d queued_by_key=%d key_queues=%d calls=%d pending_notices=%d disabled_endpoints=%d "
         "clients=%d endpoint_connections=%d descriptors=%d rounds=%d cpu_s=%.1f "
-        "journal_kb=%d live_kb=%d compactions=%d%s",
+        "journal_kb=%d live_kb=%d compactions=%d disk_kb=%d of %d, at most %d%s",
         len(store.messages),
         sum(len(queue.messages) for queue in key_queues),
         len(key_queues),
@@ -98,5 +99,8 @@
         store.recovery_bytes // 1000,
         store.message_bytes // 1000,
         store.compactions,
+        usage.used_bytes // BYTES_PER_KB,
+        usage.limit_bytes // BYTES_PER_KB,
+        usage.peak_bytes // BYTES_PER_KB,
         "" if not store.recovered.is_damaged else f"; as found: {store.describe_damage()}",
     )
--- a/forwarder/storage/file_io.py
+++ b/forwarder/storage/file_io.py
@@ -51,10 +51,6 @@
         os.close(folder)
 
 
-def disk_bytes(path: Path) -> int:
-    """Returns the disk space of a file, which is allocated in whole blocks.
-
-    Raises:
-        OSError: the file does not exist or cannot be examined.
-    """
-    return -(-path.stat().st_size // DISK_BLOCK_BYTES) * DISK_BLOCK_BYTES
+def block_bytes(size_bytes: int) -> int:
+    """Returns the disk space of a file of this size, which is allocated in whole blocks."""
+    return -(-size_bytes // DISK_BLOCK_BYTES) * DISK_BLOCK_BYTES
--- a/forwarder/storage/file_names.py
+++ b/forwarder/storage/file_names.py
@@ -37,6 +37,11 @@
     return int(name.rpartition("-")[2])
 
 
+def has_generation(name: str) -> bool:
+    """Returns whether the name ends with a generation; that of a damaged file that was set aside does not."""
+    return name.rpartition("-")[2].isdecimal() and DAMAGED_MARK not in name
+
+
 def generations(names: Iterable[str], prefix: str) -> list[int]:
     """Returns the generations of the files with this prefix, in ascending order."""
     suffixes = (name.removeprefix(prefix) for name in names if name.startswith(prefix))
--- a/forwarder/storage/journal_file.py
+++ b/forwarder/storage/journal_file.py
@@ -19,6 +19,9 @@
         self.fd = -1
         """The descriptor of the journal; -1 while none is open."""
         self.size_bytes = 0
+        """The length of the complete appends."""
+        self.occupied_bytes = 0
+        """The length of the file, which is longer while a failed append could not be removed."""
 
     def open(self, path: Path, valid_bytes: int | None) -> None:
         """Opens an existing journal for appending.
@@ -39,6 +42,7 @@
         self.close()
         self.fd = fd
         self.size_bytes = size_bytes
+        self.occupied_bytes = size_bytes
 
     def append(self, data: bytes) -> None:
         """Appends records atomically: the marker of the first record is written last.
@@ -48,6 +52,7 @@
         """
         if self.fd < 0:
             raise OSError(errno.EBADF, "no journal is open")
+        self.occupied_bytes = self.size_bytes + len(data)
         try:
             write_all(self.fd, BLANK_MARKER + data[len(MARKER) :])
             if os.pwrite(self.fd, MARKER, self.size_bytes) < len(MARKER):
@@ -76,4 +81,5 @@
     def _truncate(self) -> None:
         """Removes everything after the last complete append."""
         os.ftruncate(self.fd, self.size_bytes)
+        self.occupied_bytes = self.size_bytes
         os.lseek(self.fd, self.size_bytes, os.SEEK_SET)
--- a/forwarder/storage/journal_writer.py
+++ b/forwarder/storage/journal_writer.py
@@ -2,6 +2,9 @@
 
 The state in memory is ahead of the files: a record is buffered when the state changes and written by the next flush.
 After a failed write records may be missing from the files, so nothing is appended until the whole state is rewritten.
+
+There is always room for that rewrite (see `capacity`): before a change that would take it, `reserve` makes room while
+the state does not have the change yet.
 """
 
 from __future__ import annotations
@@ -10,10 +13,13 @@
 import time
 from collections.abc import Callable, Iterator
 
-from forwarder.storage.capacity import RESERVED_BYTES
+from forwarder.storage.capacity import can_rewrite, margins
+from forwarder.storage.disk_usage import DiskFullError
+from forwarder.storage.file_io import block_bytes
+from forwarder.storage.file_names import JOURNAL, NEW_SNAPSHOT
 from forwarder.storage.journal_files import JournalFiles
 from forwarder.storage.messages import AcceptedMessage
-from forwarder.storage.record_format import FORMAT_VERSION, encode_record_frame
+from forwarder.storage.record_format import FORMAT_VERSION, encode_payload, encode_payload_frame, encode_record_frame
 from forwarder.storage.recovery import RecoveredJournal
 from forwarder.storage.schema import ClosingRecord, JournalClosedRecord, StoredRecord, body_of, encode_record
 from forwarder.storage.state import StoredState
@@ -26,8 +32,6 @@
 """A snapshot is started once a start would read this many times the size of a snapshot."""
 SNAPSHOT_STEP_BYTES = 64 * 1024
 """Size of one step, small enough not to block the event loop for long."""
-MIN_FREE_BYTES = RESERVED_BYTES // 2
-"""With less free space than this, files are removed or compacted before records are appended."""
 log = logging.getLogger("forwarder.store")
 
 
@@ -75,6 +79,8 @@
         self.record_number = recovered.last_scan.last_number
         """The number of the last buffered record."""
         self.unwritten_records: list[bytes] = []
+        self.unwritten_bytes = 0
+        self.margins = margins(files.usage.limit_bytes)
         self.unrecorded = UnrecordedChanges()
         self.is_owned = False
         """Whether the files are open for writing."""
@@ -100,10 +106,33 @@
 
     def append(self, record: StoredRecord) -> int:
         """Buffers a record for the next flush and returns its size in bytes."""
-        data = self._frame(record)
+        return self.append_payload(encode_payload(encode_record(record), body_of(record)))
+
+    def append_payload(self, payload: bytes) -> int:
+        """Buffers an encoded record for the next flush and returns its size in bytes."""
+        self.record_number += 1
+        data = encode_payload_frame(self.salt, self.record_number, payload)
         self.unwritten_records.append(data)
+        self.unwritten_bytes += len(data)
         return len(data)
 
+    def reserve(self, record_bytes: int, added_bytes: int) -> bool:
+        """Makes room for records that are about to change the state, by removing or rewriting files if need be.
+
+        It has to precede the change: what is written here does not contain the new records.
+
+        Args:
+            record_bytes: bound on the size of the records.
+            added_bytes: what they add to a snapshot of the state.
+
+        Returns:
+            Whether they can be written, and the whole state with them beside all files.
+        """
+        margin_bytes = self.margins.round_start
+        if not self.write_failed and self._is_near_limit(record_bytes, added_bytes, margin_bytes):
+            self._free_capacity(record_bytes, added_bytes, margin_bytes)
+        return not self.write_failed and not self._is_near_limit(record_bytes, added_bytes, margin_bytes)
+
     def flush(self) -> bool:
         """Writes the buffered records, and one step of the current snapshot.
 
@@ -147,17 +176,33 @@
         if self.write_failed:
             return
         if self.files.snapshot_writer is not None:
-            try:
-                self.compactions += self.files.write_snapshot_step(SNAPSHOT_STEP_BYTES)
-            except OSError as error:
-                self.note_failure(error)
-        elif self.files.recovery_bytes() > self._compaction_due_bytes():
+            self._continue_snapshot()
+        elif self.files.recovery_bytes() > self._compaction_due_bytes() and self._can_rewrite_after_snapshot(0):
             self.begin_snapshot()
 
+    def _continue_snapshot(self) -> None:
+        """Writes one step, or abandons the snapshot if it would leave no room for a rewrite beside it."""
+        if not self._can_rewrite_after_snapshot(self.files.journal.size_bytes):
+            self.files.abandon_snapshot()
+            return
+        try:
+            self.compactions += self.files.write_snapshot_step(SNAPSHOT_STEP_BYTES)
+        except DiskFullError:  # all that was recorded is still in the files
+            self.files.abandon_snapshot()
+        except OSError as error:
+            self.note_failure(error)
+
+    def _can_rewrite_after_snapshot(self, journal_bytes: int) -> bool:
+        """Returns whether the state can be rewritten beside the snapshot in steps and the journal since its start."""
+        snapshot_bytes = self._snapshot_bytes()
+        return can_rewrite(
+            snapshot_bytes + journal_bytes, snapshot_bytes, self.files.usage.limit_bytes, self.margins.append
+        )
+
     def begin_snapshot(self) -> None:
         """Closes the journal and starts the next generation, whose snapshot is then written in steps."""
         last_records = b"".join([*self.unwritten_records, self._frame(JournalClosedRecord())])
-        self.unwritten_records = []
+        self._clear_buffer()
         try:
             self.files.begin_snapshot(last_records, self.salt, self.state.snapshot_records(self._recorded_messages()))
             self.record_number = 0
@@ -175,6 +220,9 @@
         self.record_number = 0
         snapshot_before = self.files.snapshot_generation
         try:
+            if not self._make_room_for_rewrite():
+                usage = self.files.usage
+                raise DiskFullError(NEW_SNAPSHOT, usage.used_bytes + self._snapshot_bytes(), usage.limit_bytes)
             self.files.replace_all(self.salt, self.state.snapshot_records(self.state.messages.values()))
         except OSError as error:
             self.note_failure(error)
@@ -184,7 +232,8 @@
         else:
             self.write_failed = False
             self.compactions += 1
-        self.unwritten_records = []
+            self.files.usage.was_lowered &= self._is_near_limit(0, 0, self.margins.append)
+        self._clear_buffer()
         self.unrecorded.clear()
         return True
 
@@ -201,52 +250,98 @@
         self.flush()
         self.files.close()
 
+    def _clear_buffer(self) -> None:
+        self.unwritten_records = []
+        self.unwritten_bytes = 0
+
     def _frame(self, record: StoredRecord | ClosingRecord) -> bytes:
         self.record_number += 1
         return encode_record_frame(self.salt, self.record_number, encode_record(record), body_of(record))
 
     def _write(self) -> bool:
         """Writes the buffered records and returns whether they are in the files."""
+        if not self.write_failed and self._is_near_limit(0, 0, self.margins.append):
+            is_compacted = self._free_capacity(0, 0, self.margins.append)
+            if is_compacted or self.write_failed:
+                self._clear_buffer()
+                return is_compacted
         data = b"".join(self.unwritten_records)
-        self.unwritten_records = []
+        self._clear_buffer()
         if self.write_failed:
             return self.retry()
-        if self._is_near_limit(len(data)):
-            is_compacted = self._free_capacity(len(data))
-            if is_compacted or self.write_failed:
-                return is_compacted
         try:
-            self.files.journal.append(data)
+            self._check_room_for_empty_state(len(data))
+            self.files.append(data)
         except OSError as error:
             # A full disk must not end the process: accepted messages are delivered, new ones are rejected.
             self.note_failure(error)
             return self.retry()  # the failure may have been transient
         return True
 
-    def _free_capacity(self, more_bytes: int) -> bool:
-        """Frees disk space for `more_bytes`, with the least work that suffices.
-
-        Files older than the newest snapshot are removed first. If that is not enough, the current snapshot is
-        completed, and as a last resort the whole state is rewritten.
+    def _free_capacity(self, record_bytes: int, added_bytes: int, margin_bytes: int) -> bool:
+        """Makes room with the least work that suffices: removes older files, or else rewrites the whole state.
 
         Returns:
-            Whether the whole state was rewritten, which includes the records that were about to be written.
+            Whether the whole state was rewritten, which includes all buffered records.
         """
+        is_compacted = False
         try:
             self.files.remove_older_generations()
-            while self._is_near_limit(more_bytes) and self.files.snapshot_writer is not None:
-                self.compactions += self.files.write_snapshot_step(SNAPSHOT_STEP_BYTES)
-                self.files.remove_older_generations()
+            if self._is_near_limit(record_bytes, added_bytes, margin_bytes) and self._make_room_for_rewrite():
+                is_compacted = self.compact()
+            if not self.write_failed and self._is_near_limit(record_bytes, added_bytes, margin_bytes):
+                self.files.damaged.remove_all()
         except OSError as error:
             self.note_failure(error)
-        return (self.write_failed or self._is_near_limit(more_bytes)) and self.compact()
-
-    def _is_near_limit(self, more_bytes: int) -> bool:
-        """Returns whether `more_bytes` plus a snapshot next to the existing files would leave too little free space."""
-        snapshot = self.files.snapshot_writer
-        written_bytes = snapshot.size_bytes if snapshot is not None else 0
-        unwritten_bytes = max(0, self.state.sizes.snapshot_bytes - written_bytes)
-        return self.files.used_bytes() + more_bytes + unwritten_bytes + MIN_FREE_BYTES > self.files.max_bytes
+        return is_compacted
+
+    def _make_room_for_rewrite(self) -> bool:
+        """Removes what the state does not need, if there is no room for a rewrite beside it.
+
+        Returns:
+            Whether there is room. A folder whose limit was lowered is rewritten anyway: only that makes it smaller.
+
+        Raises:
+            OSError: a file cannot be removed.
+        """
+        usage = self.files.usage
+        snapshot_bytes = self.state.sizes.snapshot_bytes
+        self.files.abandon_snapshot()
+        for remove in (self.files.remove_older_generations, self.files.damaged.remove_all):
+            if can_rewrite(usage.used_bytes, snapshot_bytes, usage.limit_bytes):
+                return True
+            remove()
+        return usage.was_lowered or can_rewrite(usage.used_bytes, snapshot_bytes, usage.limit_bytes)
+
+    def _check_room_for_empty_state(self, record_bytes: int) -> None:
+        """Checks that an append leaves room to rewrite the state at least once its messages have ended.
+
+        Raises:
+            DiskFullError: it would not, and the folder could never be made smaller again.
+        """
+        usage = self.files.usage
+        used_bytes = usage.used_bytes + record_bytes
+        empty_bytes = self.state.sizes.snapshot_bytes - self.state.sizes.message_bytes
+        if not can_rewrite(used_bytes, empty_bytes, usage.limit_bytes, self.margins.append) and not usage.was_lowered:
+            raise DiskFullError(JOURNAL, used_bytes + empty_bytes, usage.limit_bytes)
+
+    def _is_near_limit(self, record_bytes: int, added_bytes: int, margin_bytes: int) -> bool:
+        """Returns whether too little space for a rewrite would be free once the buffered records are written.
+
+        Args:
+            record_bytes: the records that are appended beside the buffered ones.
+            added_bytes: what these records add to the state.
+            margin_bytes: disk space that has to stay free.
+        """
+        usage = self.files.usage
+        finished_bytes = usage.used_bytes - block_bytes(usage.sizes.get(NEW_SNAPSHOT, 0))
+        used_bytes = finished_bytes + self.unwritten_bytes + record_bytes
+        snapshot_bytes = self._snapshot_bytes() + added_bytes
+        return not can_rewrite(used_bytes, snapshot_bytes, usage.limit_bytes, margin_bytes)
+
+    def _snapshot_bytes(self) -> int:
+        """Returns a bound on the size of a snapshot of the state, and on the one that is being written."""
+        return max(self.state.sizes.snapshot_bytes, self.files.usage.sizes.get(NEW_SNAPSHOT, 0))
 
     def _compaction_due_bytes(self) -> int:
         return max(MIN_COMPACTION_BYTES, GROWTH_BEFORE_COMPACTION * self.state.sizes.snapshot_bytes)
--- a/forwarder/storage/messages.py
+++ b/forwarder/storage/messages.py
@@ -3,12 +3,62 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from json.encoder import encode_basestring_ascii
+from typing import NamedTuple, Protocol
 
 from forwarder.decisions.settings import Effect, MessageClass
 
-RECORD_OVERHEAD_BYTES = 400
-"""Upper bound on the size of an accepted message in a snapshot, apart from its body and ids."""
+RECORD_OVERHEAD_BYTES = 600
+"""Bound on the size of an accepted message's record apart from its body and strings, with its attempts."""
+
+
+class StorableMessage(Protocol):
+    """The fields of a message that determine its size on disk."""
+
+    @property
+    def id(self) -> str:
+        """The message's id."""
+
+    @property
+    def message_class(self) -> MessageClass:
+        """Its class, all of which is stored."""
+
+    @property
+    def key(self) -> str | None:
+        """Its key, in classes that keep their order."""
+
+    @property
+    def tenant(self) -> str | None:
+        """The account that it belongs to."""
+
+    @property
+    def idempotency_key(self) -> str | None:
+        """Its client's key against repetitions."""
+
+    @property
+    def body(self) -> bytes:
+        """Its body."""
+
+
+def json_string_bytes(text: str | None) -> int:
+    """Returns the size of a string in JSON, with its quotes and escapes."""
+    return len(encode_basestring_ascii(text)) if text else 0
+
+
+def stored_message_bytes(message: StorableMessage) -> int:
+    """Returns a bound on the disk space of a message: of its record, or of its end's records once it has ended.
+
+    The id counts twice: a message that ends with a notice has it in the notice and among the ended ids.
+    """
+    return (
+        RECORD_OVERHEAD_BYTES
+        + len(message.body)
+        + 2 * json_string_bytes(message.id)
+        + json_string_bytes(message.message_class.name)
+        + json_string_bytes(message.key)
+        + json_string_bytes(message.tenant)
+        + json_string_bytes(message.idempotency_key)
+    )
 
 
 class AttemptInFlight(NamedTuple):
@@ -71,7 +121,7 @@
     @property
     def stored_bytes(self) -> int:
         """An upper bound on the size of the message in a snapshot."""
-        return len(self.body) + len(self.id) + len(self.idempotency_key or "") + RECORD_OVERHEAD_BYTES
+        return stored_message_bytes(self)
 
     def start_attempt(self, number: int, started_us: int, endpoint: str) -> None:
         """Adds an attempt in flight."""
--- a/forwarder/storage/record_format.py
+++ b/forwarder/storage/record_format.py
@@ -92,7 +92,16 @@
 
 def encode_record_frame(salt: int, number: int, line: StoredLine, body: bytes = b"") -> bytes:
     """Returns the frame and payload of one record."""
-    payload = encode_line(line) + b"\n" + body
+    return encode_payload_frame(salt, number, encode_payload(line, body))
+
+
+def encode_payload(line: StoredLine, body: bytes = b"") -> bytes:
+    """Returns the payload of one record."""
+    return encode_line(line) + b"\n" + body
+
+
+def encode_payload_frame(salt: int, number: int, payload: bytes) -> bytes:
+    """Returns a payload with the frame of its record."""
     fields = CHECKED_FRAME_FIELDS.pack(len(payload), number, _payload_checksum(salt, number, payload))
     return MARKER + _frame_check(salt, fields).to_bytes(2, "little") + fields + payload
 
--- a/forwarder/storage/replay.py
+++ b/forwarder/storage/replay.py
@@ -22,20 +22,24 @@
 class Replay:
     """Replays the recovered records when the forwarder starts."""
 
-    def __init__(self, recovered: RecoveredJournal, known_classes: Mapping[str, MessageClass]) -> None:
+    def __init__(
+        self, recovered: RecoveredJournal, known_classes: Mapping[str, MessageClass], max_ended_id_bytes: int
+    ) -> None:
         """Reads all records; records of an unknown form are skipped.
 
         Args:
             recovered: the recovered files of the folder.
             known_classes: message classes by name, for journals that store only the name of a class.
+            max_ended_id_bytes: size of the ids of ended messages from which on the oldest are dropped.
         """
         self.recovered = recovered
         self.known_classes = known_classes
-        self.state = StoredState()
+        self.state = StoredState(max_ended_id_bytes)
         self.records_read = 0
         self.orphaned_ids: set[str] = set()
         """Ids that occur in records although the message itself is lost."""
         self._read_records()
+        self.state.measure_endpoint_list()
         self._log_damage()
 
     def describe_damage(self) -> str:
--- a/forwarder/storage/snapshot_writer.py
+++ b/forwarder/storage/snapshot_writer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from forwarder.storage.file_io import sync_data, write_all
 from forwarder.storage.record_format import encode_file_header, encode_record_frame
@@ -22,12 +22,28 @@
     A copy of the state would double the memory used by messages, so each record is generated when it is written.
     """
 
-    def __init__(self, fd: int, generation: int, salt: int, records: Iterator[StoredRecord]) -> None:
-        """Prepares a snapshot in an empty file; `write_step` writes it."""
+    def __init__(
+        self,
+        fd: int,
+        generation: int,
+        salt: int,
+        records: Iterator[StoredRecord],
+        reserve: Callable[[int], None] = lambda size_bytes: None,
+    ) -> None:
+        """Prepares a snapshot in an empty file; `write_step` writes it.
+
+        Args:
+            fd: the file.
+            generation: the snapshot's generation.
+            salt: the initial value of the checksums.
+            records: the records to write.
+            reserve: called with the size that the file is about to have; raises OSError if that is not allowed.
+        """
         self.fd = fd
         self.generation = generation
         self.salt = salt
         self.records = records
+        self.reserve = reserve
         self.size_bytes = 0
         self.checksum = 0
         """The checksum of all bytes written so far."""
@@ -51,6 +67,7 @@
         self.checksum = zlib.crc32(data, self.checksum)
         if is_complete:
             data += self._frame(SnapshotSealedRecord(self.record_number + 1, self.checksum))
+        self.reserve(self.size_bytes + len(data))
         write_all(self.fd, data)
         self.size_bytes += len(data)
         if durable:
--- a/forwarder/storage/state.py
+++ b/forwarder/storage/state.py
@@ -4,8 +4,15 @@
 
 from collections.abc import Iterable, Iterator
 
-from forwarder.storage.capacity import LISTED_ENDPOINT_BYTES, StateSizes
+from forwarder.storage.capacity import (
+    StateSizes,
+    listed_name_bytes,
+    named_record_bytes,
+    named_records_bytes,
+    notice_bytes,
+)
 from forwarder.storage.messages import AcceptedMessage, Ejection, PendingNotice
+from forwarder.storage.record_format import FRAME_HEAD, encode_payload
 from forwarder.storage.schema import (
     WITHDRAWN_ATTEMPT,
     AttemptEndedRecord,
@@ -23,6 +30,7 @@
     NoticeAcknowledgedRecord,
     NoticePendingRecord,
     StoredRecord,
+    encode_record,
     endpoint_name,
 )
 from forwarder.units import SECOND_US
@@ -41,8 +49,13 @@
 class StoredState:
     """The state that the journal preserves. Changed by records, and by the store before it writes the records."""
 
-    def __init__(self) -> None:
-        """Starts with an empty state."""
+    def __init__(self, max_ended_id_bytes: int) -> None:
+        """Starts with an empty state.
+
+        Args:
+            max_ended_id_bytes: size of the ids of ended messages from which on the oldest are dropped.
+        """
+        self.max_ended_id_bytes = max_ended_id_bytes
         self.messages: dict[str, AcceptedMessage] = {}
         self.ended_ids: dict[str, None] = {}
         """Ids of messages that have ended, oldest first."""
@@ -101,6 +114,11 @@
         for message in self.messages.values():
             message.is_doubtful = True
 
+    def measure_endpoint_list(self) -> None:
+        """Counts the endpoint list as it is, after lists were applied whose records were not measured."""
+        record = EndpointListRecord(self.endpoint_list_version, [*self.endpoints.values()])
+        self.sizes.endpoint_list_bytes = FRAME_HEAD.size + len(encode_payload(encode_record(record)))
+
     def discard_message(self, message_id: str) -> None:
         """Removes a message as if it had never been accepted."""
         message = self.messages.pop(message_id, None)
@@ -111,17 +129,13 @@
         """Drops the ejections that are too old to be kept."""
         oldest_us = now_us - EJECTION_KEPT_US
         self.ejections = {name: ejection for name, ejection in self.ejections.items() if max(ejection) > oldest_us}
+        self.sizes.ejection_bytes = named_records_bytes(self.ejections)
 
     def drop_ended_backoffs(self, now_us: int) -> None:
         """Drops the expired key backoffs if there are many key backoffs."""
         if len(self.key_backoffs) >= MAX_KEY_BACKOFFS:
             self.key_backoffs = {key: until_us for key, until_us in self.key_backoffs.items() if until_us > now_us}
-
-    def max_snapshot_bytes(self) -> int:
-        """Returns an upper bound on the size of a snapshot."""
-        return self.sizes.max_snapshot_bytes(
-            len(self.pending_notices), len(self.ejections), len(self.known_endpoints) + len(self.disabled_endpoints)
-        )
+            self.sizes.key_backoff_bytes = named_records_bytes(self.key_backoffs)
 
     def snapshot_records(self, messages: Iterable[AcceptedMessage]) -> Iterator[StoredRecord]:
         """Yields the records of a snapshot.
@@ -172,6 +186,8 @@
             message.fail_attempt_locally(record.attempt)
 
     def _apply_key_backoff(self, record: KeyBackoffRecord) -> None:
+        if record.key not in self.key_backoffs:
+            self.sizes.key_backoff_bytes += named_record_bytes(record.key)
         self.key_backoffs[record.key] = max(record.until_us, self.key_backoffs.get(record.key, 0))
 
     def _apply_message_ended(self, record: MessageEndedRecord) -> None:
@@ -186,16 +202,22 @@
 
     def _apply_notice_pending(self, record: NoticePendingRecord) -> None:
         self._end_message(record.message_id)
+        self._remove_notice(record.message_id)
         notice = PendingNotice(record.state, record.retry_after_ms, record.key)
         self.pending_notices[record.message_id] = notice
+        self.sizes.notice_bytes += notice_bytes(record.message_id, notice)
 
     def _apply_notice_acknowledged(self, record: NoticeAcknowledgedRecord) -> None:
-        self.pending_notices.pop(record.message_id, None)
+        self._remove_notice(record.message_id)
+
+    def _remove_notice(self, message_id: str) -> None:
+        notice = self.pending_notices.pop(message_id, None)
+        if notice is not None:
+            self.sizes.notice_bytes -= notice_bytes(message_id, notice)
 
     def _apply_endpoint_list(self, record: EndpointListRecord) -> None:
         self.endpoint_list_version = record.version
         self.endpoints = {endpoint_name(endpoint): endpoint for endpoint in record.endpoints}
-        self.sizes.endpoint_list_bytes = LISTED_ENDPOINT_BYTES * len(self.endpoints)
         self._add_known_endpoints(self.endpoints)
 
     def _apply_known_endpoints(self, record: KnownEndpointsRecord) -> None:
@@ -206,12 +228,14 @@
             self.disabled_endpoints.pop(record.endpoint, None)
         else:
             self.disabled_endpoints[record.endpoint] = record.since_us
+        self.sizes.disabled_endpoint_bytes = named_records_bytes(self.disabled_endpoints)
 
     def _apply_ejection(self, record: EjectionRecord) -> None:
         if record.ejected_at_us < 0:
             self.ejections.pop(record.endpoint, None)
         else:
             self.ejections[record.endpoint] = Ejection(record.ejected_at_us, record.recovering_since_us)
+        self.sizes.ejection_bytes = named_records_bytes(self.ejections)
 
     def _end_message(self, message_id: str) -> None:
         self.discard_message(message_id)
@@ -222,18 +246,23 @@
         for message_id in message_ids:
             if message_id not in self.ended_ids:
                 self.ended_ids[message_id] = None
-                self.sizes.add_ended_id(message_id)
-        while len(self.ended_ids) > MAX_ENDED_IDS:
+                self.sizes.ended_id_bytes += listed_name_bytes(message_id)
+        while len(self.ended_ids) > MAX_ENDED_IDS or self.sizes.ended_id_bytes > self.max_ended_id_bytes:
             oldest = next(iter(self.ended_ids))
             del self.ended_ids[oldest]
-            self.sizes.remove_ended_id(oldest)
+            self.sizes.ended_id_bytes -= listed_name_bytes(oldest)
 
     def _add_known_endpoints(self, names: Iterable[str]) -> None:
         for name in names:
-            self.known_endpoints.pop(name, None)
+            if name in self.known_endpoints:
+                del self.known_endpoints[name]
+            else:
+                self.sizes.known_endpoint_bytes += listed_name_bytes(name)
             self.known_endpoints[name] = None
         while len(self.known_endpoints) > MAX_KNOWN_ENDPOINTS:
-            del self.known_endpoints[next(iter(self.known_endpoints))]
+            oldest = next(iter(self.known_endpoints))
+            del self.known_endpoints[oldest]
+            self.sizes.known_endpoint_bytes -= listed_name_bytes(oldest)
 
 
 def _split(names: Iterable[str]) -> list[list[str]]:
--- a/forwarder/storage/store.py
+++ b/forwarder/storage/store.py
@@ -10,17 +10,17 @@
 
 from __future__ import annotations
 
+import logging
 import secrets
 from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
 
 from forwarder.decisions.settings import MessageClass
-from forwarder.storage.capacity import fits
-from forwarder.storage.file_io import DISK_BLOCK_BYTES
+from forwarder.storage.capacity import fits, max_ended_id_bytes
 from forwarder.storage.journal_files import JournalFiles
 from forwarder.storage.journal_writer import JournalWriter
 from forwarder.storage.messages import AcceptedMessage, Ejection, PendingNotice
-from forwarder.storage.record_format import FORMAT_VERSION
+from forwarder.storage.record_format import FORMAT_VERSION, encode_payload
 from forwarder.storage.recovery import recover_journal
 from forwarder.storage.replay import Replay
 from forwarder.storage.schema import (
@@ -41,10 +41,10 @@
     NoticeAcknowledgedRecord,
     NoticePendingRecord,
     StoredRecord,
+    encode_record,
 )
 
-MAX_FILES = 8
-"""Maximum number of files, each of which may occupy one block more than its size."""
+log = logging.getLogger("forwarder.store")
 
 
 class MessageStore:
@@ -71,11 +71,11 @@
             OSError: the journal cannot be read.
             NewerFormatError: a file has a format version that this program does not support.
         """
-        self.files = JournalFiles(folder, max_bytes - MAX_FILES * DISK_BLOCK_BYTES)
+        self.files = JournalFiles(folder, max_bytes)
         self.recovered = recover_journal(self.files.names(), self.files.read, salt)
         known_salt = salt if self.recovered.salt is None else self.recovered.salt
         self.salt: int = secrets.randbits(32) if known_salt is None else known_salt
-        self.replay = Replay(self.recovered, classes or {})
+        self.replay = Replay(self.recovered, classes or {}, max_ended_id_bytes(self.files.usage.limit_bytes))
         self.state = self.replay.state
         self.writer = JournalWriter(self.files, self.recovered, self.state, self.salt, acquire)
 
@@ -229,13 +229,28 @@
     def record_endpoint_list(self, version: int, endpoints: Mapping[str, EndpointFields], now_us: int) -> None:
         """Replaces the endpoint list, and drops ejections that are too old to be kept.
 
+        A list for which there is no room is not stored: after a restart the one before it counts, until discovery
+        answers.
+
         Args:
             version: the list's version.
             endpoints: the listed endpoints by name.
             now_us: the current time.
         """
         self.state.drop_old_ejections(now_us)
-        self.state.sizes.endpoint_list_bytes = self._change(EndpointListRecord(version, [*endpoints.values()]))
+        record = EndpointListRecord(version, [*endpoints.values()])
+        payload = encode_payload(encode_record(record))
+        if not self._has_room_for_list(len(payload)):
+            log.warning("no room to store the endpoint list of version %d: %d bytes", version, len(payload))
+            return
+        self.state.apply(record)
+        self.state.sizes.endpoint_list_bytes = self.writer.append_payload(payload)
+
+    def _has_room_for_list(self, size_bytes: int) -> bool:
+        added_bytes = max(0, size_bytes - self.state.sizes.endpoint_list_bytes)
+        if self.write_failed:  # the list is part of the state that is written next
+            return self._fits(added_bytes)
+        return self.writer.reserve(size_bytes, added_bytes)
 
     def record_known_endpoints(self, names: Iterable[str]) -> None:
         """Adds the names of endpoints that were listed, but not in a recorded list."""
@@ -263,9 +278,15 @@
     # Decisions that depend on the written records
 
     def has_capacity_for(self, message_bytes: int) -> bool:
-        """Returns whether a message of this size can be accepted while leaving enough space for a compaction."""
-        available_bytes = self.files.max_bytes - self.set_aside_bytes
-        return not self.write_failed and fits(self.state.max_snapshot_bytes(), message_bytes, available_bytes)
+        """Returns whether messages of this size on disk can be accepted while leaving enough space for a rewrite."""
+        return not self.write_failed and self._fits(message_bytes)
+
+    def _fits(self, added_bytes: int) -> bool:
+        return fits(self.state.sizes.snapshot_bytes, added_bytes, self.files.usage.limit_bytes)
+
+    def reserve(self, message_bytes: int) -> bool:
+        """Makes room for messages of this size on disk, before they are accepted; returns whether there is room."""
+        return self.writer.reserve(message_bytes, message_bytes)
 
     def may_notify(self, message_id: str, now_us: int) -> bool:
         """Returns whether the platform may be notified of the end of a message.
@@ -294,7 +315,7 @@
 
     @property
     def set_aside_bytes(self) -> int:
-        """The size of the damaged files that are set aside for inspection."""
+        """The disk space of the damaged files that are set aside for inspection."""
         return self.files.damaged.size_bytes
 
     @property
--- a/tests/storage/test_journal_writer.py
+++ b/tests/storage/test_journal_writer.py
@@ -10,7 +10,7 @@
 import pytest
 
 from forwarder.storage import journal_writer
-from forwarder.storage.file_io import disk_bytes
+from forwarder.storage.file_io import block_bytes
 from forwarder.storage.store import MessageStore
 from tests.storage.folders import (
     MAX_BYTES,
@@ -52,7 +52,7 @@
             store.end_message(next(iter(store.messages)))
         store.flush()
         seen_names |= file_names(tmp_path)
-        assert sum(disk_bytes(path) for path in tmp_path.iterdir()) <= max_bytes, n
+        assert sum(block_bytes(path.stat().st_size) for path in tmp_path.iterdir()) <= max_bytes, n
     assert not store.write_failed
     assert store.compactions > 3
     assert len(store.messages) > 200
