Upgrade: a new configuration reaches the process that serves from then on

Cause: nobody owed the signal. The old process blocks its event loop while it hands over and ends without another callback, so the signal was dropped, or its effect with the process; the new one had read the file before it asked to take over.

Change: the new process owes it. The old one hands over what it has accepted of files that it read again (an optional key, which older versions ignore); the new one starts by that, reads the file again as it takes over, alone too, and once more when the old process has ended, which it learns from a descriptor of that process (pidfd), or else from the connection.

Why it works: a file is in place before its signal, and a process that has ended gets none.

--- a/forwarder/__main__.py
+++ b/forwarder/__main__.py
@@ -17,7 +17,9 @@
 from forwarder.clients.arrival_time import event_loop
 from forwarder.clients.listener import bind
 from forwarder.clients.server import BACKLOG
+from forwarder.config.accepted_config import with_accepted
 from forwarder.config.config import Address, Config, ConfigError, ConfigUnreadableError, load_config
+from forwarder.protocol.checked_fields import MalformedInputError
 from forwarder.runtime.engine import Engine
 from forwarder.runtime.extension import ExtensionFactory
 from forwarder.runtime.ownership import HandoverState, Ownership
@@ -107,9 +109,10 @@
         client_socket = handover.socket(handover.description.client_listener)
         if client_socket.getsockname()[:2] != astuple(config.listen):
             client_socket = await bind(config.listen)
-        return Engine(config, ownership, admin, client_socket, handover, extensions)
+        return Engine(accepted_before(config, handover), ownership, admin, client_socket, handover, extensions)
 
     engine = await ownership.obtain(_make_engine)
+    engine.reloader.hold()
     loop.add_signal_handler(signal.SIGTERM, engine.shutdown.start)
     loop.add_signal_handler(signal.SIGINT, engine.shutdown.start)
     loop.add_signal_handler(signal.SIGHUP, engine.reloader.request)
@@ -123,6 +126,21 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
 
+def accepted_before(config: Config, handover: HandoverState) -> Config:
+    """Returns the configuration by which the previous process served, with what only the start of this one decides.
+
+    That process may have accepted a file that was there after this one had read its own, or refused the newest.
+    """
+    accepted = handover.description.accepted_config
+    if accepted is None:
+        return config
+    try:
+        return with_accepted(config, accepted)
+    except (MalformedInputError, ValueError, TypeError, AttributeError) as error:
+        log.error("the configuration of the previous process cannot be read: %s", error)
+        return config
+
+
 def _claim_address(client_socket: socket.socket) -> None:
     """Listens on the clients' address: two processes can bind it at the same time, but only one can listen.
 
--- a/forwarder/config/config.py
+++ b/forwarder/config/config.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import errno
+import hashlib
 import json
 import math
 import os
 import zlib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from pathlib import Path
 
@@ -130,6 +131,8 @@
     """The file as decoded from JSON."""
     common_document: object
     """What this file and all files accepted before it have in common (`required_keys.common_part`)."""
+    file_digest: bytes = b""
+    """A digest of the file's bytes; empty if not all of the file is in force."""
 
 
 def parse_address(text: object) -> Address:
@@ -180,6 +183,11 @@
     )
 
 
+def parse_report_fields(settings: JsonObject) -> tuple[str, ...]:
+    """Returns the fields of an endpoint's load report that the settings name."""
+    return tuple((settings.get("telemetry") or {}).get("fields") or ())
+
+
 def load_config(environ: Mapping[str, str] = os.environ, before: Config | None = None) -> Config:
     """Reads the configuration. Values from the environment take precedence over those in the file.
 
@@ -195,23 +203,41 @@
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
-    document = _read_document(path)
+    data = _read_file(path)
+    document = _decode_document(path, data)
     try:
         if before is not None:
             check_complete(before.common_document, document)
             if not document["settings"]["services"]:
                 raise MalformedInputError("settings.services is empty")
-        return _parse_document(document, environ, before)
+        return replace(_parse_document(document, environ, before), file_digest=_digest(data))
     except (MalformedInputError, ValueError, TypeError, AttributeError) as error:
         text = " ".join(str(error).split())
         raise ConfigError(f"bad configuration in {path}: {text}") from None
 
 
-def _read_document(path: str) -> JsonObject:
+def is_file_in_force(config: Config, environ: Mapping[str, str] = os.environ) -> bool:
+    """Returns whether the file is still the one that a configuration was read from; False if it cannot be read."""
+    try:
+        return _digest(_read_file(environ.get("LB_CONFIG", ""))) == config.file_digest
+    except ConfigUnreadableError:
+        return False
+
+
+def _digest(data: bytes) -> bytes:
+    return hashlib.blake2b(data).digest()
+
+
+def _read_file(path: str) -> bytes:
     try:
-        document: JsonObject = json.loads(Path(path).read_bytes())
+        return Path(path).read_bytes()
     except OSError as error:
         raise ConfigUnreadableError(f"cannot read {path}: {error}", error.errno in TRANSIENT_ERRORS) from None
+
+
+def _decode_document(path: str, data: bytes) -> JsonObject:
+    try:
+        document: JsonObject = json.loads(data)
     except (ValueError, RecursionError) as error:  # RecursionError: nested too deeply
         raise ConfigError(f"cannot read {path}: {error}") from None
     return document
@@ -238,7 +264,7 @@
         disk_bytes=int(float(limits.get("disk_mb", DEFAULT_DISK_MB)) * BYTES_PER_MB),
         initial_list=parse_endpoint_list(document.get("known") or {"seq": 0, "whole": True, "hosts": []}),
         settings=parse_settings(settings),
-        report_fields=tuple((settings.get("telemetry") or {}).get("fields") or ()),
+        report_fields=parse_report_fields(settings),
         document=document,
         common_document=common_part([document] if before is None else [before.common_document, document]),
     )
--- a/forwarder/runtime/engine.py
+++ b/forwarder/runtime/engine.py
@@ -104,6 +104,7 @@
         self.endpoint_lists = EndpointListUpdates(self)
         self.commands = AdminCommands(self)
         self.reloader = ConfigReloader(self)
+        self.reloader.accepted = description.accepted_config
         self.shutdown = GracefulShutdown(self)
         self.handover_sender = HandoverSender(self)
         self.folder_ownership = FolderOwnership(self, self.handover_sender.hand_over)
@@ -250,6 +251,8 @@
         if self.handover is not None:
             await adopt_calls(self, self.handover)
             await adopt_notice_connection(self, self.handover)
+        self.supervisor.guard("reload", self.reloader.begin)
+        self.ownership.call_at_previous_end(self.reloader.catch_up)
         self.loop.run_round()
         self.notices.keep_connected()
         self.notices.wake()
--- a/forwarder/runtime/handover.py
+++ b/forwarder/runtime/handover.py
@@ -116,6 +116,7 @@
         admin_connections=admin_connections,
         clients=_describe_clients(runtime, table),
         notice_connection=None if notice_connection is None else table.add(fileno(notice_connection)),
+        accepted_config=runtime.reloader.accepted,
     )
     return description, table.descriptors
 
@@ -205,7 +206,7 @@
 
 
 async def adopt_clients(runtime: Runtime, handover: HandoverState) -> None:
-    """Adopts the client and admin connections of the previous process, and closes the rest of the hand-over."""
+    """Adopts the client and admin connections of the previous process, and closes the other descriptors."""
     description = handover.description
     if description.is_draining:
         runtime.start_draining()
@@ -221,4 +222,4 @@
         sock = handover.socket(connection.descriptor)
         adoption = runtime.admin.adopt(sock, connection.line)
         await runtime.supervisor.guarded("hand-over of an operator", adoption)
-    handover.close()
+    handover.close_descriptors()
--- a/forwarder/runtime/handover_format.py
+++ b/forwarder/runtime/handover_format.py
@@ -13,6 +13,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from forwarder.config.accepted_config import AcceptedConfig
 from forwarder.decisions.learned_state import LearnedState
 from forwarder.runtime.learned_state_format import StoredRecord, learned_state_from_stored, learned_state_to_stored
 
@@ -117,6 +118,8 @@
     clients: Sequence[HandedClient] = ()
     notice_connection: int | None = None
     """The descriptor of the connection for notices; None if the previous process handed over none."""
+    accepted_config: AcceptedConfig | None = None
+    """What the previous process accepted of files that it read again; None if it goes by the one of its start."""
 
 
 def encode_description(description: HandoverDescription) -> bytes:
@@ -140,6 +143,8 @@
     }
     if description.notice_connection is not None:  # an earlier version ignores this unknown key
         stored["notices"] = description.notice_connection
+    if description.accepted_config is not None:
+        stored["config"] = _config_to_stored(description.accepted_config)
     return json.dumps(stored, separators=(",", ":")).encode()
 
 
@@ -168,6 +173,7 @@
         ],
         clients=[_client_from_stored(client) for client in stored["doors"]],
         notice_connection=stored.get("notices"),
+        accepted_config=_config_from_stored(stored.get("config")),
     )
 
 
@@ -247,5 +253,15 @@
     return HandedClient(stored["fd"], state)
 
 
+def _config_to_stored(accepted: AcceptedConfig) -> StoredRecord:
+    return {"discovery": accepted.discovery, "settings": accepted.settings, "common": accepted.common_document}
+
+
+def _config_from_stored(stored: StoredRecord | None) -> AcceptedConfig | None:
+    if stored is None:
+        return None
+    return AcceptedConfig(stored["discovery"], stored["settings"], stored["common"])
+
+
 def _to_base64(data: bytes) -> str:
     return base64.b64encode(data).decode()
--- a/forwarder/runtime/ownership.py
+++ b/forwarder/runtime/ownership.py
@@ -10,6 +10,9 @@
 Any failure before "taken" leaves the old process unchanged. If the old process dies before "yours" arrives, the lock is
 free, and the new process starts from the journal as after any crash. The kernel releases the lock when its processes
 end, so a file that was left behind is never mistaken for an owner.
+
+After "yours" the old process acts on no signal any more, but may still get one. The new process therefore watches it
+until it has ended (`previous_process`), and then reads the configuration once more (`reload`).
 """
 
 from __future__ import annotations
@@ -29,6 +32,7 @@
 
 from forwarder.runtime.failure_span import FailureSpan
 from forwarder.runtime.handover_format import HandoverDescription, decode_description, encode_description
+from forwarder.runtime.previous_process import PreviousProcess
 from forwarder.storage.file_io import close_descriptor
 
 TAKEOVER_REQUEST = b"take over 1\n"
@@ -66,6 +70,7 @@
 
     def __init__(self, link: socket.socket, description: HandoverDescription, descriptors: Sequence[int]) -> None:
         self.link = link
+        self.previous = PreviousProcess(link)
         self.description = description
         self._descriptors = dict(enumerate(descriptors))
 
@@ -89,7 +94,11 @@
 
     def close(self) -> None:
         """Closes the connection and all descriptors that were not taken out."""
-        self.link.close()
+        self.previous.close()
+        self.close_descriptors()
+
+    def close_descriptors(self) -> None:
+        """Closes all descriptors that were not taken out."""
         while self._descriptors:
             close_descriptor(self._descriptors.popitem()[1])
 
@@ -104,6 +113,8 @@
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.listener: socket.socket | None = None
+        self.previous: PreviousProcess | None = None
+        """The process that handed over to this one, until it has ended."""
         self.has_lock = False
         """Whether no other process can own the folder: this one holds the lock, or the platform refuses locks."""
         self.locking = FailureSpan(log, "take the lock")
@@ -256,7 +267,7 @@
         lock = handover.confirm()
         if lock == NOT_OPEN:
             return None
-        handover.link.close()
+        self.previous = handover.previous
         close_descriptor(self._lock)
         self._lock = lock
         self.has_lock = True
@@ -336,8 +347,15 @@
             return False
         return True
 
+    def call_at_previous_end(self, on_end: Callable[[], None]) -> None:
+        """Calls a function once the process that handed over has ended; never if there was none."""
+        if self.previous is not None:
+            self.previous.call_at_end(on_end)
+
     def close(self) -> None:
         """Stops listening. The lock stays held until the process ends."""
+        if self.previous is not None:
+            self.previous.close()
         if self.listener is not None:
             asyncio.get_running_loop().remove_reader(self.listener)
             self.listener.close()
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -62,6 +62,7 @@
         control: the port for operators.
         log: the lines that the process has logged.
         arguments: arguments of its command line.
+        environment: variables that differ from what the configuration file tells.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self.port, self.control = free_ports(2, self.host)
         self.log: list[str] = []
         self.arguments: list[str] = []
+        self.environment: dict[str, str] = {}
         self.shim: Control | None = None  # if set, the program runs under lab/shim.py, which lets system calls fail
         (folder / "state").mkdir(exist_ok=True)
         settings = {**SETTINGS, "discovery": discovery, "allowed": {**SETTINGS["allowed"], **allowed}}
@@ -118,6 +120,7 @@
             "LB_STATE": str(self.folder / "state"),
             "LB_CONTROL": f"{self.host}:{self.control}",
             "LB_DISCOVERY": json.loads((self.folder / "config.json").read_text())["discovery"],
+            **self.environment,
         }
         program = (
             ["-m", module_name(PROGRAM_ROOT)]
