Upgrade: a new process does not hold the clients' address after a failed hand-over

Cause: the listening socket is taken out of the hand-over when the engine is built; if the lock did not come, nobody closed it, and the dropped engine, held by reference cycles, listened on. The next attempt met its own socket.

Change: Ownership.obtain calls `discard` with a server of a hand-over that was not completed; the program closes the socket there, and where the engine cannot be built.

Why it works: each socket that comes out of a hand-over has an owner that closes it when the step fails.

--- a/forwarder/__main__.py
+++ b/forwarder/__main__.py
@@ -109,9 +109,14 @@
         client_socket = handover.socket(handover.description.client_listener)
         if client_socket.getsockname()[:2] != astuple(config.listen):
             client_socket = await bind(config.listen)
-        return Engine(accepted_before(config, handover), ownership, admin, client_socket, handover, extensions)
+        try:
+            return Engine(accepted_before(config, handover), ownership, admin, client_socket, handover, extensions)
+        except OSError:
+            client_socket.close()
+            raise
 
-    engine = await ownership.obtain(_make_engine)
+    # A socket that is left open would hold the clients' address against this process itself.
+    engine = await ownership.obtain(_make_engine, discard=lambda engine: engine.client_socket.close())
     engine.reloader.hold()
     loop.add_signal_handler(signal.SIGTERM, engine.shutdown.start)
     loop.add_signal_handler(signal.SIGINT, engine.shutdown.start)
--- a/forwarder/runtime/ownership.py
+++ b/forwarder/runtime/ownership.py
@@ -129,11 +129,12 @@
 
     # Becoming the owner
 
-    async def obtain(self, make: MakeServer[Made]) -> Made:
+    async def obtain(self, make: MakeServer[Made], discard: Callable[[Made], None] = lambda made: None) -> Made:
         """Becomes the owner, either from the free lock or by taking over from the current owner.
 
         Args:
             make: creates the server; called again after a failed take-over.
+            discard: closes what a server that was created took out of a hand-over that was not completed.
 
         Raises:
             OSError: the server cannot be created without a hand-over.
@@ -152,7 +153,7 @@
                     )
                     self._unlock()
             else:
-                made = await self._request_take_over(make)
+                made = await self._request_take_over(make, discard)
                 if made is not None:
                     return made
             await asyncio.sleep(RETRY_INTERVAL_S)
@@ -213,12 +214,12 @@
             with suppress(OSError):
                 fcntl.flock(self._lock, fcntl.LOCK_UN)
 
-    async def _request_take_over(self, make: MakeServer[Made]) -> Made | None:
+    async def _request_take_over(self, make: MakeServer[Made], discard: Callable[[Made], None]) -> Made | None:
         """Returns the new server if the owner has handed over, otherwise None."""
         handover = self._request_state()
         if handover is None:
             return None
-        made = await self._take_over(handover, make)
+        made = await self._take_over(handover, make, discard)
         if made is None:
             handover.close()
             log.warning("the previous process did not complete the hand-over; retrying")
@@ -254,7 +255,9 @@
             log.warning("the previous process does not hand over: %s", problem)
         self._logged_problem = problem
 
-    async def _take_over(self, handover: HandoverState, make: MakeServer[Made]) -> Made | None:
+    async def _take_over(
+        self, handover: HandoverState, make: MakeServer[Made], discard: Callable[[Made], None]
+    ) -> Made | None:
         """Returns the new server if it was created and the previous process has given up ownership.
 
         Otherwise returns None, and the previous process keeps serving.
@@ -266,6 +269,7 @@
             return None
         lock = handover.confirm()
         if lock == NOT_OPEN:
+            discard(made)
             return None
         self.previous = handover.previous
         close_descriptor(self._lock)
--- a/tests/runtime/test_ownership.py
+++ b/tests/runtime/test_ownership.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from forwarder.runtime.ownership import HANDOVER_HEADER, TAKEOVER_REQUEST, Ownership, receive
+from forwarder.runtime.ownership import HANDOVER_HEADER, TAKEOVER_READY, TAKEOVER_REQUEST, Ownership, receive
 from tests.platforms import Platform
 from tests.runtime.test_handover import hold_answers, upgrade
 from tests.scenes import play, received_ids, start_endpoint, start_node
@@ -123,6 +123,54 @@
     play(scene, tmp_path)
 
 
+def take_state(folder: Path) -> tuple[bytes, list[int]]:
+    """Requests the state of the owner and gives the hand-over up. Returns the description and the descriptors."""
+    with request_takeover(folder) as link:
+        head = receive(link, HANDOVER_HEADER.size)
+        size, count = HANDOVER_HEADER.unpack(head)
+        data = receive(link, size)
+        descriptors: list[int] = []
+        while len(descriptors) < count:
+            descriptors += socket.recv_fds(link, 1, count)[1]
+    return head + data, descriptors
+
+
+def test_a_new_process_serves_at_once_when_the_owner_dies_before_the_lock_has_come(tmp_path: Path) -> None:
+    """review/7: it held the clients' address itself, waited 20 s for it, and ended."""
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await start_endpoint(platform, hang)
+        node = await start_node(folder, platform)
+        assert (await node.submit("a", "status"))[0] == 202
+        await peer.wait_for_requests(1)
+        state, descriptors = await asyncio.to_thread(take_state, folder)
+        await node.end()
+        (folder / "state/upgrade").unlink()
+        listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        listener.bind(f"/proc/self/fd/{os.open(folder / 'state', os.O_RDONLY)}/upgrade")
+        listener.listen()
+        lock = os.open(folder / "state/lock", os.O_RDWR)
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        await node.start(ready=False)
+        link, _ = await asyncio.to_thread(listener.accept)
+        listener.close()
+        peer.handler = always(OK)
+        assert await asyncio.to_thread(receive, link, len(TAKEOVER_REQUEST)) == TAKEOVER_REQUEST
+        link.sendall(state)
+        socket.send_fds(link, [b"f"], descriptors)
+        for descriptor in descriptors:
+            os.close(descriptor)
+        assert await asyncio.to_thread(receive, link, len(TAKEOVER_READY)) == TAKEOVER_READY
+        os.close(lock)
+        link.close()
+        await node.until_ready()
+        assert not any("another process is serving" in line for line in node.log)
+        assert (await peer.wait_for_requests(2))[1].headers["x-correlation-id"] == "a"
+        assert (await node.submit("b", "status"))[0] == 202
+
+    play(scene, tmp_path)
+
+
 def test_files_left_behind_are_not_taken_for_an_owner(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         peer = await start_endpoint(platform, always(OK))
