Upgrade: only a hand-over from a process watches that process

Change: Ownership passes the process that is to be watched; the set-up of a stand-in owner stands once in test_ownership.

--- a/forwarder/runtime/ownership.py
+++ b/forwarder/runtime/ownership.py
@@ -68,10 +68,17 @@
 class HandoverState:
     """The state that the previous process handed over. A descriptor belongs to the caller that takes it out."""
 
-    def __init__(self, link: socket.socket, description: HandoverDescription, descriptors: Sequence[int]) -> None:
+    def __init__(
+        self,
+        link: socket.socket,
+        description: HandoverDescription,
+        descriptors: Sequence[int],
+        previous: PreviousProcess | None = None,
+    ) -> None:
         self.link = link
-        self.previous = PreviousProcess(link)
         self.description = description
+        self.previous = previous
+        """The process that hands over, if it is to be watched."""
         self._descriptors = dict(enumerate(descriptors))
 
     def socket(self, index: int) -> socket.socket:
@@ -94,7 +101,9 @@
 
     def close(self) -> None:
         """Closes the connection and all descriptors that were not taken out."""
-        self.previous.close()
+        if self.previous is not None:
+            self.previous.close()
+        self.link.close()
         self.close_descriptors()
 
     def close_descriptors(self) -> None:
@@ -241,7 +250,7 @@
                 descriptors += more
                 if not received:
                     raise ConnectionResetError("the previous process closed the connection")
-            return HandoverState(link, decode_description(data), descriptors)
+            return HandoverState(link, decode_description(data), descriptors, PreviousProcess(link))
         except (OSError, ValueError, struct.error) as error:
             self._log_request_failure(error)
             if link is not None:
--- a/tests/runtime/test_ownership.py
+++ b/tests/runtime/test_ownership.py
@@ -93,6 +93,17 @@
     play(scene, tmp_path)
 
 
+def own_folder(folder: Path) -> tuple[socket.socket, int]:
+    """Takes the place of an owner that has ended. Returns the upgrade socket and the descriptor of the lock."""
+    (folder / "state/upgrade").unlink()
+    listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    listener.bind(f"/proc/self/fd/{os.open(folder / 'state', os.O_RDONLY)}/upgrade")
+    listener.listen()
+    lock = os.open(folder / "state/lock", os.O_RDWR)
+    fcntl.flock(lock, fcntl.LOCK_EX)
+    return listener, lock
+
+
 def test_an_owner_that_dies_while_it_hands_over_leaves_the_journal(tmp_path: Path) -> None:
     """The new process waits while the lock is held, answers `fail` to operators, and then starts from the journal."""
 
@@ -102,12 +113,7 @@
         assert (await node.submit("a", "status"))[0] == 202
         await peer.wait_for_requests(1)
         await node.end()
-        (folder / "state/upgrade").unlink()
-        listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        listener.bind(f"/proc/self/fd/{os.open(folder / 'state', os.O_RDONLY)}/upgrade")
-        listener.listen()
-        lock = os.open(folder / "state/lock", os.O_RDWR)
-        fcntl.flock(lock, fcntl.LOCK_EX)
+        listener, lock = own_folder(folder)
         await node.start(ready=False)
         link, _ = await asyncio.to_thread(listener.accept)
         link.sendall(HANDOVER_HEADER.pack(1000, 3) + b"{half of what it has")
@@ -145,12 +151,7 @@
         await peer.wait_for_requests(1)
         state, descriptors = await asyncio.to_thread(take_state, folder)
         await node.end()
-        (folder / "state/upgrade").unlink()
-        listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        listener.bind(f"/proc/self/fd/{os.open(folder / 'state', os.O_RDONLY)}/upgrade")
-        listener.listen()
-        lock = os.open(folder / "state/lock", os.O_RDWR)
-        fcntl.flock(lock, fcntl.LOCK_EX)
+        listener, lock = own_folder(folder)
         await node.start(ready=False)
         link, _ = await asyncio.to_thread(listener.accept)
         listener.close()
